--- /dev/null
+++ b/src/app/main.cc
@@ -0,0 +1,93 @@
+// The command line, logging and the real clock and transports.
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+#include <sys/resource.h>
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include "app/node.h"
+#include "config/settings.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/loop.h"
+#include "rpc/peer_link.h"
+
+namespace {
+
+using namespace seampass;
+
+constexpr int kBadSettings = 2;
+
+void set_up_logging() {
+  auto logger = spdlog::stderr_logger_st("seampass");
+  logger->set_pattern("%H:%M:%S.%e %l %v");
+  const char* level = std::getenv("LOG_LEVEL");
+  const std::string name = level ? level : "info";
+  logger->set_level(name == "debug"   ? spdlog::level::debug
+                    : name == "error" ? spdlog::level::err
+                                      : spdlog::level::info);
+  spdlog::set_default_logger(std::move(logger));
+}
+
+int serve(const config::Settings& settings, const config::Operator& op) {
+  std::signal(SIGPIPE, SIG_IGN);
+  net::Loop loop;
+  net::HttpClient http(loop, 8);
+  rpc::PeerLink peers(loop, settings.node, settings.peers);
+  app::Node node(loop, http, peers, settings, op);
+  // Three quarters of the sockets for those who come; the rest for what this node dials.
+  net::ServerLimits limits;
+  limits.max_connections = static_cast<std::size_t>(settings.fd_limit) * 3 / 4;
+  limits.idle = net::ms(settings.lease_s * 3);
+  limits.slow = net::ms(settings.report_s * 3);
+  net::HttpServer server(loop, limits, [&node](const net::Request& r, net::Answer answer) {
+    node.handle(r, std::move(answer));
+  });
+  try {
+    peers.listen(settings.back);
+    server.listen(settings.listen);
+  } catch (const std::exception& e) {
+    spdlog::error("{}", e.what());
+    return 1;
+  }
+  spdlog::info("{} in {} listens on {}", settings.node, settings.zone, settings.listen);
+  node.start();
+  loop.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App cli{"seampass, a gang scheduler for clusters"};
+  cli.set_version_flag("--version", std::string("seampass ") + SEAMPASS_VERSION);
+  std::string config_file, operator_file;
+  bool check = false;
+  cli.add_option("--config", config_file, "the platform's settings (TOML)")->required();
+  cli.add_option("--operator", operator_file, "the operators' own settings (YAML)");
+  cli.add_flag("--check", check, "check the settings and exit");
+  try {
+    cli.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return cli.exit(e) == 0 ? 0 : kBadSettings;
+  }
+  config::Settings settings;
+  config::Operator op;
+  try {
+    settings = config::load_settings(config_file);
+    if (!operator_file.empty()) op = config::load_operator(operator_file);
+  } catch (const config::BadSettings& e) {
+    std::cerr << "seampass: " << e.what() << "\n";
+    return kBadSettings;
+  }
+  if (check) {
+    std::cout << "settings are good\n";
+    return 0;
+  }
+  set_up_logging();
+  return serve(settings, op);
+}
--- /dev/null
+++ b/src/app/node.cc
@@ -0,0 +1,44 @@
+#include "app/node.h"
+
+#include <algorithm>
+
+namespace seampass::app {
+
+using net::ms;
+
+namespace {
+
+leader::ElectionTimes times_of(const config::Settings& s) {
+  // A sixth of a worker's lease: a take-over leaves workers most of theirs. The grace leaves a
+  // whole report interval as margin.
+  return {ms(s.lease_s / 6), ms(s.cancel_s - s.lease_s - s.report_s / 3)};
+}
+
+}  // namespace
+
+// All controllers draw on the state service's limits; the leader does most of the work.
+Node::Node(net::Runtime& runtime, net::HttpCaller& http, rpc::PeerTransport& peers,
+           const config::Settings& settings, const config::Operator& op)
+    : settings_(settings),
+      operator_(op),
+      state_(runtime, http, settings_.state, settings_.state_rps * 0.6,
+             settings_.state_write_rps * 0.6, ms(settings_.report_s / 3)),
+      cloud_(runtime, http, settings_.cloud, settings_.cloud_rps * 0.7,
+             ms(std::max(settings_.report_s, 8 / settings_.cloud_rps))),
+      types_(runtime, cloud_, ms(settings_.lease_s * 2), ms(settings_.report_s / 2)),
+      // A few hundred bytes a verdict: an eighth of the memory at most.
+      archive_(state_, static_cast<std::size_t>(settings_.memory_mb / 8 * 1024 * 1024 / 512)),
+      election_(
+          runtime, state_, settings_.node, times_of(settings_), [this] { controller_.begin(); },
+          [this] { controller_.stop(); }),
+      controller_(runtime, state_, cloud_, types_,
+                  workers::Client(http, ms(settings_.report_s / 3)), election_, archive_,
+                  settings_, operator_),
+      desk_(runtime, state_, types_, election_, controller_, archive_, peers, settings_) {}
+
+void Node::start() {
+  types_.start();
+  election_.start();
+}
+
+}  // namespace seampass::app
--- /dev/null
+++ b/src/app/node.h
@@ -0,0 +1,40 @@
+// One controller, wired: every actor over an injected clock and injected transports.
+#pragma once
+
+#include "cloud/client.h"
+#include "cloud/type_book.h"
+#include "config/settings.h"
+#include "jobs/archive.h"
+#include "jobs/desk.h"
+#include "leader/controller.h"
+#include "leader/election.h"
+#include "net/runtime.h"
+#include "rpc/peer.h"
+#include "state/client.h"
+
+namespace seampass::app {
+
+class Node {
+ public:
+  Node(net::Runtime& runtime, net::HttpCaller& http, rpc::PeerTransport& peers,
+       const config::Settings& settings, const config::Operator& op);
+
+  void start();
+  void handle(const net::Request& request, net::Answer answer) {
+    desk_.handle(request, std::move(answer));
+  }
+  const leader::Election& election() const { return election_; }
+
+ private:
+  config::Settings settings_;
+  config::Operator operator_;
+  state::Client state_;
+  cloud::Client cloud_;
+  cloud::TypeBook types_;
+  jobs::Archive archive_;
+  leader::Election election_;
+  leader::Controller controller_;
+  jobs::Desk desk_;
+};
+
+}  // namespace seampass::app
--- /dev/null
+++ b/src/cloud/client.cc
@@ -0,0 +1,91 @@
+#include "cloud/client.h"
+
+#include <algorithm>
+
+namespace seampass::cloud {
+
+using net::Call;
+using net::Ms;
+using net::Reply;
+
+Client::Client(net::Runtime& runtime, net::HttpCaller& http, std::string endpoint, double rps,
+               Ms timeout)
+    : runtime_(runtime),
+      http_(http),
+      endpoint_(std::move(endpoint)),
+      rps_(rps),
+      tokens_(rps),
+      timeout_(timeout),
+      refilled_(runtime.now()) {}
+
+void Client::catalog(std::function<void(bool, std::vector<wire::MachineType>)> done) {
+  submit(Call{endpoint_, "GET", "/catalog", "", timeout_},
+         [done = std::move(done)](const Reply& r) {
+           if (!r.is(200)) return done(false, {});
+           try {
+             auto types = wire::catalog_from(r.body);
+             done(!types.empty(), std::move(types));
+           } catch (const wire::Malformed&) {
+             done(false, {});
+           }
+         });
+}
+
+void Client::rent(const wire::Rental& rental,
+                  std::function<void(Rented, std::vector<std::string>)> done) {
+  submit(Call{endpoint_, "POST", "/rentals", wire::rental_body(rental), timeout_},
+         [done = std::move(done)](const Reply& r) {
+           if (r.is(200)) {
+             try {
+               return done(Rented::ok, wire::rented_from(r.body));
+             } catch (const wire::Malformed&) {
+               return done(Rented::trouble, {});
+             }
+           }
+           const bool full = r.is(503) && r.body.find("no capacity") != std::string::npos;
+           done(full ? Rented::no_capacity : Rented::trouble, {});
+         });
+}
+
+void Client::remove(const std::vector<std::string>& machines, std::function<void(bool)> done) {
+  submit(Call{endpoint_, "POST", "/rentals/delete", wire::delete_body(machines), timeout_},
+         [done = std::move(done)](const Reply& r) { done(r.is(200)); });
+}
+
+void Client::machines(const std::string& after, std::function<void(bool, wire::MachinePage)> done) {
+  std::string path = "/rentals?most=500";
+  if (!after.empty()) path += "&since=" + after;
+  submit(Call{endpoint_, "GET", std::move(path), "", timeout_},
+         [done = std::move(done)](const Reply& r) {
+           if (!r.is(200)) return done(false, {});
+           try {
+             done(true, wire::machines_from(r.body));
+           } catch (const wire::Malformed&) {
+             done(false, {});
+           }
+         });
+}
+
+void Client::submit(Call call, net::ReplyFn done) {
+  queue_.emplace_back(std::move(call), std::move(done));
+  pump();
+}
+
+void Client::pump() {
+  const Ms now = runtime_.now();
+  tokens_ = std::min(rps_, tokens_ + static_cast<double>(now - refilled_) / 1000.0 * rps_);
+  refilled_ = now;
+  while (!queue_.empty() && tokens_ >= 1) {
+    tokens_ -= 1;
+    auto [call, done] = std::move(queue_.front());
+    queue_.pop_front();
+    http_.call(std::move(call), std::move(done));
+  }
+  if (!queue_.empty() && timer_ == 0)
+    timer_ = runtime_.after(net::ms(1 / rps_), [this] {
+      timer_ = 0;
+      pump();
+    });
+}
+
+}  // namespace seampass::cloud
--- /dev/null
+++ b/src/config/settings.cc
@@ -0,0 +1,181 @@
+#include "config/settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <cmath>
+#include <set>
+#define TOML_EXCEPTIONS 1
+#include <toml++/toml.h>
+
+namespace seampass::config {
+namespace {
+
+// Reads one table, and names file and field in every complaint.
+class Reader {
+ public:
+  Reader(const toml::table& table, std::string file, std::string prefix)
+      : table_(table), file_(std::move(file)), prefix_(std::move(prefix)) {}
+
+  std::string text(const char* name) const {
+    const auto v = table_[name].value<std::string>();
+    if (!v || v->empty()) fail(name, "must be a non-empty string");
+    return *v;
+  }
+  double number(const char* name, double least) const {
+    const auto v = table_[name].value<double>();
+    if (!v || !std::isfinite(*v) || *v < least) fail(name, "must be a number in range");
+    return *v;
+  }
+  double positive(const char* name) const {
+    const double v = number(name, 0);
+    if (v <= 0) fail(name, "must be above 0");
+    return v;
+  }
+  std::string endpoint(const char* name) const {
+    std::string v = text(name);
+    const auto colon = v.rfind(':');
+    int port = 0;
+    if (colon != std::string::npos && v.size() - colon <= 6)
+      for (std::size_t i = colon + 1; i < v.size(); ++i)
+        port = (v[i] < '0' || v[i] > '9') ? 1 << 20 : port * 10 + (v[i] - '0');
+    if (port < 1 || port > 65535) fail(name, "must be ADDRESS:PORT");
+    return v;
+  }
+  Reader table(const char* name) const {
+    const auto* t = table_[name].as_table();
+    if (!t) fail(name, "must be a table");
+    return Reader(*t, file_, prefix_ + name + ".");
+  }
+  std::vector<Reader> tables(const char* name) const {
+    std::vector<Reader> list;
+    if (!table_.contains(name)) return list;
+    const auto* a = table_[name].as_array();
+    if (!a) fail(name, "must be a list of tables");
+    for (const auto& item : *a) {
+      const auto* t = item.as_table();
+      if (!t) fail(name, "must be a list of tables");
+      list.emplace_back(*t, file_, prefix_ + name + ".");
+    }
+    return list;
+  }
+  std::vector<std::string> texts(const char* name) const {
+    std::vector<std::string> list;
+    const auto* a = table_[name].as_array();
+    if (!a) fail(name, "must be a list of strings");
+    for (const auto& item : *a) {
+      const auto v = item.value<std::string>();
+      if (!v) fail(name, "must be a list of strings");
+      list.push_back(*v);
+    }
+    return list;
+  }
+  bool has(const char* name) const { return table_.contains(name); }
+  [[noreturn]] void fail(const char* name, const char* fault) const {
+    throw BadSettings(file_ + ": " + prefix_ + name + ": " + fault);
+  }
+
+ private:
+  const toml::table& table_;
+  std::string file_, prefix_;
+};
+
+}  // namespace
+
+const Team* Settings::team(const std::string& name) const {
+  for (const Team& t : teams)
+    if (t.name == name) return &t;
+  return nullptr;
+}
+
+Settings load_settings(const std::string& path) {
+  toml::table root;
+  try {
+    root = toml::parse_file(path);
+  } catch (const toml::parse_error& e) {
+    throw BadSettings(path + ": line " + std::to_string(e.source().begin.line) + ": " +
+                      std::string(e.description()));
+  }
+  const Reader r(root, path, "");
+  Settings s;
+  s.node = r.text("node");
+  s.zone = r.text("location");
+  s.listen = r.endpoint("listen");
+  s.back = r.endpoint("back");
+  for (const Reader& p : r.tables("known"))
+    s.peers.push_back({p.text("node"), p.text("location"), p.endpoint("endpoint")});
+  const Reader ext = r.table("external");
+  s.cloud = ext.endpoint("cloud");
+  s.state = ext.endpoint("state");
+  const Reader facts = r.table("facts");
+  s.zones = facts.texts("zones");
+  s.skew_ms = facts.number("skew_ms", 0);
+  for (const Reader& t : facts.tables("teams"))
+    s.teams.push_back({t.text("name"), t.number("cpus", 0), t.number("cpus_max", 0),
+                       t.number("gpus", 0), t.number("gpus_max", 0)});
+  for (const Reader& o : facts.tables("objectives")) {
+    Objective objective{o.text("kind"), "", 0};
+    if (o.has("class")) objective.klass = o.text("class");
+    if (o.has("within_s")) objective.within_s = o.number("within_s", 0);
+    s.objectives.push_back(objective);
+  }
+  const Reader w = facts.table("workers");
+  s.report_s = w.positive("report_s");
+  s.lease_s = w.positive("lease_s");
+  s.gang_wait_s = w.positive("gang_wait_s");
+  s.gang_peer_s = w.positive("gang_peer_s");
+  s.cancel_s = w.positive("cancel_s");
+  const Reader st = facts.table("state");
+  s.state_rps = st.positive("rps");
+  s.state_write_rps = st.positive("write_rps");
+  s.value_kb = st.number("value_kb", 2);
+  s.txn_ops = static_cast<int>(st.number("txn_ops", 4));
+  const Reader cl = facts.table("cloud");
+  s.cloud_rps = cl.positive("rps");
+  s.list_lag_s = cl.number("list_lag_s", 0);
+  const Reader res = facts.table("resources");
+  s.core_share = res.positive("core_share");
+  s.memory_mb = res.positive("mem_mb");
+  s.fd_limit = static_cast<int>(res.number("fd_limit", 32));
+  return s;
+}
+
+Operator load_operator(const std::string& path) {
+  YAML::Node root;
+  try {
+    root = YAML::LoadFile(path);
+  } catch (const YAML::Exception& e) {
+    throw BadSettings(path + ": " + e.what());
+  }
+  Operator o;
+  if (root.IsNull()) return o;
+  if (!root.IsMap()) throw BadSettings(path + ": must be a map of settings");
+  for (const auto& entry : root) {
+    const auto key = entry.first.as<std::string>();
+    const auto number = [&](double least) {
+      double v = 0;
+      try {
+        v = entry.second.as<double>();
+      } catch (const YAML::Exception&) {
+        throw BadSettings(path + ": " + key + ": must be a number");
+      }
+      if (!std::isfinite(v) || v < least) throw BadSettings(path + ": " + key + ": out of range");
+      return v;
+    };
+    if (key == "hold_timeout_s") {
+      o.hold_timeout_s = number(1);
+    } else if (key == "idle_return") {
+      o.idle_return = number(0);
+    } else if (key == "spare") {
+      o.spare = number(0);
+    } else if (key == "machine_choice") {
+      o.machine_choice = entry.second.IsScalar() ? entry.second.as<std::string>() : "";
+      if (o.machine_choice != "scored" && o.machine_choice != "first-fit")
+        throw BadSettings(path + ": machine_choice: must be scored or first-fit");
+    } else {
+      throw BadSettings(path + ": " + key + ": unknown setting");
+    }
+  }
+  return o;
+}
+
+}  // namespace seampass::config
--- /dev/null
+++ b/src/config/settings.h
@@ -0,0 +1,60 @@
+// The platform's TOML settings and the operators' own YAML settings.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace seampass::config {
+
+class BadSettings : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Peer {
+  std::string node, zone, endpoint;
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  // 0 in a maximum: no limit
+};
+
+struct Objective {
+  std::string kind, klass;
+  double within_s = 0;
+};
+
+struct Settings {
+  std::string node, zone, listen, back;
+  std::vector<Peer> peers;
+  std::string cloud, state;
+  std::vector<std::string> zones;
+  double skew_ms = 0;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
+  double state_rps = 0, state_write_rps = 0, value_kb = 0;
+  int txn_ops = 0;
+  double cloud_rps = 0, list_lag_s = 0;
+  double core_share = 1, memory_mb = 0;
+  int fd_limit = 0;
+
+  const Team* team(const std::string& name) const;
+};
+
+// Each default is a ratio to the platform's figures; deploy/operator.example.yaml documents them.
+struct Operator {
+  double hold_timeout_s = 20;    // how long a gang may hold room short of its minimum (design: 20)
+  double idle_return = 1.0;      // an idle machine is returned after this many of its boot times
+  double spare = 0;              // machines kept free per class with a short start aim
+  std::string machine_choice = "scored";  // or "first-fit"
+};
+
+Settings load_settings(const std::string& path);
+Operator load_operator(const std::string& path);
+
+}  // namespace seampass::config
--- /dev/null
+++ b/src/jobs/desk.cc
@@ -0,0 +1,224 @@
+#include "jobs/desk.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace seampass::jobs {
+
+using net::Answer;
+using net::Ms;
+using net::Response;
+using state::Outcome;
+using wire::Json;
+
+namespace {
+
+constexpr std::string_view kJobs = "/api/jobs";
+constexpr std::string_view kAbort = "/abort";
+constexpr std::size_t kMaxAsks = 2000;
+
+Response refusal(int status, const std::string& why) {
+  return {status, Json{{"error", why}}.dump(), 0};
+}
+
+// What can't be done now is answered at once, saying when to come back.
+Response later(const char* why) { return {503, Json{{"error", why}}.dump(), 1}; }
+
+}  // namespace
+
+Desk::Desk(net::Runtime& runtime, state::Client& state, const cloud::TypeBook& types,
+           leader::Election& election, leader::Controller& controller, Archive& archive,
+           rpc::PeerTransport& peers, const config::Settings& settings)
+    : runtime_(runtime),
+      state_(state),
+      types_(types),
+      election_(election),
+      controller_(controller),
+      archive_(archive),
+      peers_(peers),
+      settings_(settings) {
+  peers_.on_receive([this](const std::string& from, const rpc::Message& m) { receive(from, m); });
+}
+
+void Desk::handle(const net::Request& request, Answer answer) {
+  std::string_view path = request.path;
+  path = path.substr(0, path.find('?'));
+  const auto want = [&](const char* method) {
+    if (request.method == method) return true;
+    answer(refusal(405, "method not allowed"));
+    return false;
+  };
+  if (path == "/checkin") {
+    if (want("POST")) checkin(request, answer);
+    return;
+  }
+  if (path == "/up") {
+    if (!want("GET")) return;
+    return answer(types_.known() ? Response{200, "{}"} : later("starting"));
+  }
+  if (path == kJobs) {
+    if (want("POST")) submit(request, answer);
+    return;
+  }
+  if (path.starts_with(kJobs) && path.size() > kJobs.size() && path[kJobs.size()] == '/') {
+    std::string_view id = path.substr(kJobs.size() + 1);
+    const bool abort = id.ends_with(kAbort);
+    if (abort) id.remove_suffix(kAbort.size());
+    if (id.find('/') != std::string_view::npos) return answer(refusal(404, "no such path"));
+    if (!want(abort ? "POST" : "GET")) return;
+    if (!wire::valid_job_id(id)) return answer(refusal(404, "no such job"));
+    if (abort) return cancel(std::string(id), answer);
+    return current(std::string(id), false, answer);
+  }
+  answer(refusal(404, "no such path"));
+}
+
+std::string Desk::impossible(const wire::Job& job) const {
+  const config::Team* team = settings_.team(job.team);
+  if (!team) return "unknown team";
+  bool fits = false;
+  for (const auto& [name, t] : types_.types()) {
+    if (job.types && std::find(job.types->begin(), job.types->end(), name) == job.types->end())
+      continue;
+    if (job.zone && std::find(t.zones.begin(), t.zones.end(), *job.zone) == t.zones.end()) continue;
+    fits = fits || (job.cpus <= t.cpus && job.gpus <= t.gpus && job.memory_gb <= t.memory_gb);
+  }
+  if (!fits) return "a task fits no allowed machine type";
+  // An array runs if one task does; gangs and services need all at once.
+  const double n = job.kind == wire::JobKind::array ? 1 : job.tasks;
+  constexpr double slack = 1e-6;
+  if ((team->cpus_max > 0 && n * job.cpus > team->cpus_max + slack) ||
+      (team->gpus_max > 0 && n * job.gpus > team->gpus_max + slack))
+    return "over the team's limit";
+  return {};
+}
+
+void Desk::submit(const net::Request& request, const Answer& answer) {
+  wire::Job job;
+  try {
+    job = wire::job_from(wire::parse_object(request.body));
+  } catch (const wire::Malformed& e) {
+    return answer(refusal(400, e.what()));
+  }
+  const std::string id = job.id;
+  if (const auto v = archive_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
+  if (!types_.known()) return answer(later("machine types not known yet"));
+  const std::string why = impossible(job);
+  if (!why.empty()) {
+    // A job that was accepted once stays so, whatever the settings or types say by now.
+    return archive_.read(id, [answer, why](Archive::Found found, const wire::JobStatus& status,
+                                           const state::Item&) {
+      if (found == Archive::Found::cannot) return answer(later("state not available"));
+      if (found == Archive::Found::none) return answer(refusal(422, why));
+      answer({200, wire::accepted_json(status), 0});
+    });
+  }
+  // More waits for the store than it can take before the user would give up.
+  if (state_.backlog() > net::ms(settings_.report_s / 3)) return answer(later("busy"));
+  Json record = leader::Controller::open_record(job, runtime_.wall());
+  state::Txn txn;
+  txn.conditions = {{leader::open_key(id), 0}, {leader::ends_key(id), 0}};
+  txn.changes.push_back({leader::open_key(id), record, 0});
+  state_.txn(std::move(txn), state::Urgency::verdict,
+             [this, id, record = std::move(record), answer](const state::TxnResult& t) {
+               if (t.outcome == Outcome::conflict) return current(id, true, answer);
+               if (t.outcome != Outcome::ok) return answer(later("state not available"));
+               wire::JobStatus status;
+               status.id = id;
+               answer({201, wire::accepted_json(status), 0});
+               if (election_.leading())
+                 controller_.accepted(id, record, t.revision);
+               else if (!election_.leader().empty())
+                 peers_.send(election_.leader(), rpc::Accepted{id, record.dump(), t.revision});
+             });
+}
+
+void Desk::current(const std::string& id, bool known_accepted, const Answer& answer) {
+  const auto tell = [answer, known_accepted](const wire::JobStatus& s) {
+    answer({200, known_accepted ? wire::accepted_json(s) : wire::to_json(s), 0});
+  };
+  if (const auto v = archive_.verdict(id)) return tell(*v);
+  ask_leader(id, false, net::ms(settings_.report_s / 5), [this, id, answer, tell](const rpc::Answer& a) {
+    if (a.verdict == rpc::Verdict::known) return tell(a.status);
+    if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
+    archive_.read(id, [answer, tell](Archive::Found found, const wire::JobStatus& status,
+                                     const state::Item&) {
+      if (found == Archive::Found::cannot) return answer(later("state not available"));
+      if (found == Archive::Found::none) return answer(refusal(404, "no such job"));
+      tell(status);
+    });
+  });
+}
+
+void Desk::cancel(const std::string& id, const Answer& answer) {
+  if (const auto v = archive_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
+  // Only the leader ends jobs, so that none of its answers can be older than the verdict.
+  ask_leader(id, true, net::ms(settings_.report_s), [answer](const rpc::Answer& a) {
+    if (a.verdict == rpc::Verdict::cannot) return answer(later("no leader can answer"));
+    if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
+    if (a.status.stage != wire::Stage::cancelled && a.status.stage != wire::Stage::done)
+      return answer(later("not decided yet"));
+    answer({200, wire::accepted_json(a.status), 0});
+  });
+}
+
+void Desk::checkin(const net::Request& request, const Answer& answer) {
+  if (!election_.leading()) return answer({421, wire::redirect_answer(election_.leader()), 0});
+  try {
+    auto r = controller_.checkin(wire::report_from(request.body));
+    answer({r.status, std::move(r.body), 0});
+  } catch (const wire::Malformed& e) {
+    answer(refusal(400, e.what()));
+  }
+}
+
+void Desk::ask_leader(const std::string& id, bool cancel, Ms timeout, Reply reply) {
+  if (election_.leading()) return controller_.ask(id, cancel, std::move(reply));
+  const std::string node = election_.leader();
+  if (node.empty() || asks_.size() >= kMaxAsks) return reply({});
+  const std::uint64_t number = next_++;
+  Waiting& w = asks_[number];
+  w.id = id;
+  w.node = node;
+  w.reply = std::move(reply);
+  w.timer = runtime_.after(timeout, [this, number] {
+    const auto it = asks_.find(number);
+    if (it == asks_.end()) return;
+    const Waiting late = std::move(it->second);
+    asks_.erase(it);
+    peers_.reset(late.node);
+    late.reply({});
+  });
+  peers_.send(node, rpc::Ask{number, id, cancel});
+}
+
+void Desk::receive(const std::string& from, const rpc::Message& message) {
+  if (const auto* accepted = std::get_if<rpc::Accepted>(&message)) {
+    if (!election_.leading()) return;
+    const Json record = Json::parse(accepted->record, nullptr, false);
+    if (!record.is_discarded()) controller_.accepted(accepted->id, record, accepted->version);
+  } else if (const auto* ask = std::get_if<rpc::Ask>(&message)) {
+    const std::uint64_t number = ask->number;
+    const auto reply = [this, from, number](rpc::Answer a) {
+      a.number = number;
+      peers_.send(from, a);
+    };
+    if (!election_.leading()) return reply({});
+    controller_.ask(ask->id, ask->cancel, reply);
+  } else if (const auto* answer = std::get_if<rpc::Answer>(&message)) {
+    const auto it = asks_.find(answer->number);
+    if (it == asks_.end() || it->second.node != from) return;
+    const Waiting w = std::move(it->second);
+    asks_.erase(it);
+    runtime_.cancel(w.timer);
+    rpc::Answer a = *answer;
+    a.status.id = w.id;
+    if (a.verdict == rpc::Verdict::known && (a.status.stage == wire::Stage::done ||
+                                             a.status.stage == wire::Stage::cancelled))
+      archive_.remember(a.status);
+    w.reply(a);
+  }
+}
+
+}  // namespace seampass::jobs
--- /dev/null
+++ b/src/jobs/desk.h
@@ -0,0 +1,59 @@
+// What users and workers ask of this node over HTTP, whether it leads or not.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "cloud/type_book.h"
+#include "config/settings.h"
+#include "jobs/archive.h"
+#include "leader/controller.h"
+#include "leader/election.h"
+#include "net/http_server.h"
+#include "net/runtime.h"
+#include "rpc/peer.h"
+#include "state/client.h"
+
+namespace seampass::jobs {
+
+class Desk {
+ public:
+  Desk(net::Runtime& runtime, state::Client& state, const cloud::TypeBook& types,
+       leader::Election& election, leader::Controller& controller, Archive& archive,
+       rpc::PeerTransport& peers, const config::Settings& settings);
+
+  void handle(const net::Request& request, net::Answer answer);
+  void receive(const std::string& from, const rpc::Message& message);
+
+ private:
+  using Reply = std::function<void(const rpc::Answer&)>;
+
+  void submit(const net::Request& request, const net::Answer& answer);
+  // Empty if the job could run; else why it never can.
+  std::string impossible(const wire::Job& job) const;
+  void current(const std::string& id, bool known_accepted, const net::Answer& answer);
+  void cancel(const std::string& id, const net::Answer& answer);
+  void checkin(const net::Request& request, const net::Answer& answer);
+  // Asks the leader, this node or another.
+  void ask_leader(const std::string& id, bool cancel, net::Ms timeout, Reply reply);
+
+  net::Runtime& runtime_;
+  state::Client& state_;
+  const cloud::TypeBook& types_;
+  leader::Election& election_;
+  leader::Controller& controller_;
+  Archive& archive_;
+  rpc::PeerTransport& peers_;
+  const config::Settings& settings_;
+
+  struct Waiting {
+    std::string id, node;
+    Reply reply;
+    net::TimerId timer = 0;
+  };
+  std::uint64_t next_ = 1;
+  std::map<std::uint64_t, Waiting> asks_;
+};
+
+}  // namespace seampass::jobs
--- /dev/null
+++ b/src/leader/controller.h
@@ -0,0 +1,160 @@
+// The leading controller: the jobs, what runs where, and the decisions. It acts only between
+// begin() and stop(), which the election calls.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cloud/type_book.h"
+#include "config/settings.h"
+#include "jobs/archive.h"
+#include "leader/election.h"
+#include "leader/fleet.h"
+#include "leader/ledger.h"
+#include "net/runtime.h"
+#include "rpc/peer.h"
+#include "sched/picture.h"
+#include "state/client.h"
+#include "workers/client.h"
+
+namespace seampass::leader {
+
+struct JobRecord;
+
+// One attempt of one task on one machine, from its durable record until it is known to be off.
+struct Charge {
+  JobRecord* job = nullptr;
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  Machine* machine = nullptr;
+  std::uint64_t session = 0;
+  bool durable = false;
+  bool sent = false;  // a start may have reached the worker
+  bool seen = false;
+  int in_flight = 0;  // starts on their way through /commands
+  wire::TaskState state = wire::TaskState::fetching;
+  bool stop = false;
+  double grace_s = 0;
+  net::Ms stop_since = 0;
+};
+
+struct JobRecord {
+  wire::Job spec;
+  std::int64_t created_ms = 0;
+  state::Version open_version = 0;
+  std::uint64_t last_attempt = 0;
+  std::vector<bool> taken;     // finished or charged
+  std::vector<bool> finished;
+  std::uint32_t finished_count = 0;
+  std::uint32_t hint = 0;  // no task before this one is free
+  std::map<std::uint32_t, Charge> charges;
+  std::uint32_t running = 0;
+  net::Ms retry_at = 0;
+  int failures = 0;
+  // Gangs.
+  std::vector<std::pair<std::uint32_t, std::string>> held;
+  net::Ms held_since = 0;
+  bool whole_only = false;
+  bool stopping = false;  // this attempt is over; the next waits until all of it is off
+  // Ends.
+  bool ending = false;
+  bool ended = false;
+  wire::Stage stage = wire::Stage::queued;
+  std::vector<std::function<void(const rpc::Answer&)>> waiters;
+
+  bool gang() const { return spec.kind == wire::JobKind::gang; }
+};
+
+struct CheckinAnswer {
+  int status = 503;
+  std::string body;
+};
+
+class Controller {
+ public:
+  Controller(net::Runtime& runtime, state::Client& state, cloud::Client& cloud,
+             const cloud::TypeBook& types, workers::Client workers, Election& election,
+             jobs::Archive& archive, const config::Settings& settings,
+             const config::Operator& op);
+
+  void begin();
+  void stop();
+
+  CheckinAnswer checkin(const wire::WorkerReport& report);
+  void accepted(const std::string& id, const wire::Json& record, state::Version version);
+  // A poll or a cancellation; `cannot` unless the lease surely holds.
+  void ask(const std::string& id, bool cancel, std::function<void(const rpc::Answer&)> reply);
+
+  static wire::Json open_record(const wire::Job& job, std::int64_t created_ms);
+
+ private:
+  bool ready() const { return loaded_ && election_.holds(); }
+  std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks_; }
+
+  // Recovery.
+  void load(const std::string& prefix, const std::string& after, bool first);
+  void take_work(const state::Item& item);
+  void watch();
+
+  // Jobs.
+  void drop(JobRecord& job);
+  void finish_task(JobRecord& job, std::uint32_t task);
+  void maybe_done(JobRecord& job);
+  void end_job(JobRecord& job, wire::Stage stage);
+  void verdict(const std::string& id, wire::Stage stage);
+  void tidy(const std::string& id);
+  rpc::Answer status_of(const JobRecord& job) const;
+  std::optional<wire::Json> render(const std::string& id, std::uint32_t chunk) const;
+
+  // Charges.
+  Charge& charge(JobRecord& job, std::uint32_t task, std::uint64_t attempt, Machine& machine,
+                 std::uint64_t session);
+  void release(Charge& charge);
+  void lost_attempt(JobRecord& job);
+  void stop_charge(Charge& charge, double grace_s);
+  void stop_all(JobRecord& job, double grace_s);
+  void send_stops(const std::vector<Charge*>& charges);
+  void set_state(Charge& charge, wire::TaskState state);
+  void machine_gone(Machine& machine);
+
+  // Workers.
+  void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
+  void task_exited(Charge& charge, const wire::TaskReport& task);
+  std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
+  void send(Machine& machine, std::vector<wire::Command> commands);
+  void starts_durable(const std::string& id, const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks);
+
+  // Scheduling.
+  void kick();
+  void run_pass();
+  sched::Picture picture(std::vector<JobRecord*>& jobs);
+  void start(JobRecord& job, const std::vector<sched::Placement>& tasks, const sched::Picture& p);
+  void tick();
+  void drain_noticed();
+
+  net::Runtime& runtime_;
+  state::Client& state_;
+  const cloud::TypeBook& types_;
+  workers::Client workers_;
+  Election& election_;
+  jobs::Archive& archive_;
+  const config::Settings& settings_;
+  const config::Operator& operator_;
+  Ledger ledger_;
+  Fleet fleet_;
+  std::uint32_t chunk_tasks_;
+
+  bool active_ = false, loaded_ = false, kicked_ = false;
+  int loading_ = 0;
+  std::uint64_t term_ = 0;
+  net::Ms began_ = 0, last_rental_ = 0;
+  state::Version watched_ = 0;
+  std::map<std::string, std::unique_ptr<JobRecord>> jobs_;
+  std::map<std::string, sched::Need> team_use_;
+};
+
+}  // namespace seampass::leader
--- /dev/null
+++ b/src/leader/election.cc
@@ -0,0 +1,137 @@
+#include "leader/election.h"
+
+namespace seampass::leader {
+
+using state::Outcome;
+
+Election::Election(net::Runtime& runtime, state::Client& state, std::string node,
+                   ElectionTimes times, std::function<void()> elected,
+                   std::function<void()> deposed)
+    : runtime_(runtime),
+      state_(state),
+      node_(std::move(node)),
+      times_(times),
+      elected_(std::move(elected)),
+      deposed_(std::move(deposed)) {}
+
+void Election::start() { read(); }
+
+bool Election::holds() const {
+  // 0.05% of drift between two steady clocks, doubled.
+  return leading_ && runtime_.now() < granted_ + times_.ttl - times_.ttl / 1000;
+}
+
+bool Election::may_answer() const {
+  return leading_ && (holds() || runtime_.now() < granted_ + times_.grace);
+}
+
+void Election::retry(std::function<void()> what) {
+  const std::uint64_t term = term_;
+  runtime_.after(times_.ttl / 8, [this, term, what = std::move(what)] {
+    if (term == term_) what();
+  });
+}
+
+void Election::read() {
+  const std::uint64_t term = ++term_;
+  state_.get(
+      kKey,
+      [this, term](const state::GetResult& r) {
+        if (term != term_) return;
+        if (r.outcome == Outcome::missing) {
+          leader_.clear();
+          return stand();
+        }
+        if (r.outcome != Outcome::ok) return retry([this] { read(); });
+        const auto& v = r.item.value;
+        const std::string who = v.is_object() ? v.value("node", "") : "";
+        if (who == node_) {
+          // A former self, which is dead (or a try whose answer was lost): what is left of it is
+          // fenced by the version once the key is gone.
+          if (r.item.lease == 0) return retry([this] { read(); });
+          return state_.end(r.item.lease, [this, term](Outcome) {
+            if (term == term_) retry([this] { read(); });
+          });
+        }
+        leader_ = who;
+        seen_ = r.item.version;
+        watch();
+      },
+      state::Urgency::lease);
+}
+
+void Election::watch() {
+  const std::uint64_t term = term_;
+  state_.watch(kKey, seen_, 4 * times_.ttl, [this, term](const state::WatchResult& r) {
+    if (term != term_) return;
+    if (r.outcome == Outcome::missing) return read();
+    if (r.outcome != Outcome::ok) return retry([this] { watch(); });
+    bool vacant = false;
+    for (const auto& e : r.events) {
+      if (e.key != kKey) continue;
+      vacant = !e.value;
+      leader_ = e.value && e.value->is_object() ? e.value->value("node", "") : "";
+    }
+    seen_ = r.revision;
+    if (vacant) return stand();
+    if (leader_ == node_) return read();
+    watch();
+  });
+}
+
+void Election::stand() {
+  const std::uint64_t term = ++term_;
+  granted_ = runtime_.now();
+  state_.grant(times_.ttl, [this, term](const state::LeaseResult& g) {
+    if (term != term_) return;
+    if (g.outcome != Outcome::ok) return retry([this] { read(); });
+    lease_ = g.lease;
+    state::Txn txn;
+    txn.conditions.push_back({kKey, 0});
+    txn.changes.push_back({kKey, wire::Json{{"node", node_}}, lease_});
+    state_.txn(std::move(txn), state::Urgency::lease, [this, term](const state::TxnResult& t) {
+      if (term != term_) return;
+      if (t.outcome == Outcome::ok) return won(t.revision);
+      // Lost, or not known: give this lease up, so that a late copy of the transaction either
+      // fails or makes a key that goes with its lease.
+      state_.end(lease_, [](Outcome) {});
+      if (t.outcome == Outcome::conflict) return read();
+      retry([this] { read(); });
+    });
+  });
+}
+
+void Election::won(state::Version warrant) {
+  leading_ = true;
+  warrant_ = warrant;
+  leader_ = node_;
+  const std::uint64_t term = ++term_;
+  runtime_.after(times_.ttl / 4, [this, term] {
+    if (term == term_) renew();
+  });
+  elected_();
+}
+
+void Election::renew() {
+  const std::uint64_t term = term_;
+  const net::Ms sent = runtime_.now();
+  state_.renew(lease_, [this, term, sent](Outcome o) {
+    if (term != term_) return;
+    if (o == Outcome::missing) return lost();
+    if (o == Outcome::ok && sent > granted_) granted_ = sent;
+    const net::Ms pause = o == Outcome::ok ? times_.ttl / 4 : times_.ttl / 8;
+    runtime_.after(pause, [this, term] {
+      if (term == term_) renew();
+    });
+  });
+}
+
+void Election::lost() {
+  if (!leading_) return;
+  leading_ = false;
+  leader_.clear();
+  deposed_();
+  read();
+}
+
+}  // namespace seampass::leader
--- /dev/null
+++ b/src/leader/election.h
@@ -0,0 +1,63 @@
+// Who leads. The key `leader` is created only when absent, under a lease; the version of its
+// creation is the warrant.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "net/runtime.h"
+#include "state/client.h"
+
+namespace seampass::leader {
+
+struct ElectionTimes {
+  net::Ms ttl;
+  // For how long after the last good renewal was sent check-ins may still be answered without a
+  // lease: shorter than cancel_s - lease_s, so that a cancellation answered under the next leader
+  // holds whatever a cut-off worker does (see docs/architecture.md).
+  net::Ms grace;
+};
+
+class Election {
+ public:
+  Election(net::Runtime& runtime, state::Client& state, std::string node, ElectionTimes times,
+           std::function<void()> elected, std::function<void()> deposed);
+
+  void start();
+
+  bool leading() const { return leading_; }
+  // The lease surely holds: counted from before the renewal was sent, less clock drift.
+  bool holds() const;
+  // Check-ins may be answered with 200 (without starts unless the lease holds).
+  bool may_answer() const;
+  std::uint64_t warrant() const { return warrant_; }
+  // The leading node as far as known; empty if none is.
+  const std::string& leader() const { return leader_; }
+  // Somebody learned that another has taken over.
+  void lost();
+
+  static constexpr const char* kKey = "leader";
+
+ private:
+  void read();
+  void watch();
+  void stand();
+  void renew();
+  void retry(std::function<void()> what);
+  void won(state::Version warrant);
+
+  net::Runtime& runtime_;
+  state::Client& state_;
+  std::string node_;
+  ElectionTimes times_;
+  std::function<void()> elected_, deposed_;
+
+  bool leading_ = false;
+  std::string leader_;
+  std::uint64_t lease_ = 0, warrant_ = 0;
+  state::Version seen_ = 0;
+  net::Ms granted_ = 0;
+  std::uint64_t term_ = 0;  // answers meant for an earlier term are dropped
+};
+
+}  // namespace seampass::leader
--- /dev/null
+++ b/src/leader/fleet.h
@@ -0,0 +1,98 @@
+// The leader's machines: what is rented, booting, up, silent, idle or to be returned.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "cloud/client.h"
+#include "cloud/type_book.h"
+#include "config/settings.h"
+#include "net/runtime.h"
+#include "sched/picture.h"
+
+namespace seampass::leader {
+
+struct Charge;
+
+// Job id, task, attempt.
+using AttemptName = std::tuple<std::string, std::uint32_t, std::uint64_t>;
+
+struct Machine {
+  std::string name, addr, type, zone;
+  bool spot = false;
+  bool up = false;  // has reported under this term
+  bool deleting = false;
+  bool draining = false;  // takes nothing new
+  net::Ms since = 0;      // rented, as far as known
+  net::Ms heard = -1;     // last check-in that this leader may have answered; -1: none
+  std::uint64_t session = 0, seq = 0, token = 0;
+  std::optional<net::Ms> taken_at;  // spot notice
+  net::Ms idle_since = 0;
+  net::Ms suspect_until = 0;
+  int errors = 0;
+  std::map<std::pair<std::string, std::uint32_t>, Charge*> charges;
+  std::size_t strangers = 0;  // reported tasks that nothing charges
+  std::set<std::string> images;
+  // Starts sent to /commands without an answer: they may be executed late, until the session
+  // changes.
+  std::set<AttemptName> lost;
+};
+
+class Fleet {
+ public:
+  // gone: the machine, and all that is on it, surely no longer exists.
+  Fleet(net::Runtime& runtime, cloud::Client& cloud, const cloud::TypeBook& types,
+        const config::Settings& settings, const config::Operator& op,
+        std::function<void(Machine&)> gone);
+
+  void begin(std::uint64_t warrant);
+  void stop();
+  bool active() const { return warrant_ != 0; }
+
+  Machine* find(const std::string& name);
+  Machine& ensure(const std::string& name);
+  std::map<std::string, Machine>& machines() { return machines_; }
+  bool deleted(const std::string& name) const { return deleted_.count(name) != 0; }
+
+  // Returns machines to the cloud; `gone` follows once it has confirmed.
+  void remove(Machine& machine);
+  // Idle, overdue and silent machines.
+  void tick(const std::set<std::string>& kept);
+
+  std::vector<sched::RentalOption> options() const;
+  void rent(const sched::RentalOption& option, int count);
+  // Rentals asked for and not yet answered.
+  struct Asked {
+    std::string type, zone;
+    bool spot = false;
+    int count = 0;
+  };
+  const std::map<std::string, Asked>& asked() const { return asked_; }
+
+ private:
+  void poll_list(const std::string& after);
+  void take_list(const wire::MachinePage& page);
+  void flush_removals();
+
+  net::Runtime& runtime_;
+  cloud::Client& cloud_;
+  const cloud::TypeBook& types_;
+  const config::Settings& settings_;
+  const config::Operator& operator_;
+  std::function<void(Machine&)> gone_;
+  std::uint64_t warrant_ = 0, counter_ = 0;
+  net::Ms began_ = 0;
+  std::map<std::string, Machine> machines_;
+  std::set<std::string> deleted_;
+  std::set<std::string> to_delete_;
+  bool deletion_busy_ = false;
+  std::map<std::string, Asked> asked_;
+  std::map<std::tuple<std::string, std::string, bool>, net::Ms> refused_until_;
+};
+
+}  // namespace seampass::leader
--- /dev/null
+++ b/src/net/loop.cc
@@ -0,0 +1,76 @@
+#include "net/loop.h"
+
+#include <chrono>
+#include <stdexcept>
+
+namespace seampass::net {
+
+struct Loop::Timer {
+  uv_timer_t handle;
+  Loop* loop;
+  TimerId id;
+  std::function<void()> then;
+};
+
+Loop::Loop() { uv_loop_init(&loop_); }
+
+Loop::~Loop() {
+  while (!timers_.empty()) cancel(timers_.begin()->first);
+  uv_run(&loop_, UV_RUN_NOWAIT);
+  uv_loop_close(&loop_);
+}
+
+Ms Loop::now() const { return static_cast<Ms>(uv_now(&loop_)); }
+
+Ms Loop::wall() const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+TimerId Loop::after(Ms delay, std::function<void()> then) {
+  auto* t = new Timer{{}, this, next_++, std::move(then)};
+  uv_timer_init(&loop_, &t->handle);
+  t->handle.data = t;
+  timers_[t->id] = t;
+  uv_timer_start(
+      &t->handle,
+      [](uv_timer_t* h) {
+        auto* timer = static_cast<Timer*>(h->data);
+        const auto run = std::move(timer->then);
+        timer->loop->cancel(timer->id);
+        run();
+      },
+      static_cast<std::uint64_t>(delay < 0 ? 0 : delay), 0);
+  return t->id;
+}
+
+void Loop::cancel(TimerId id) {
+  const auto it = timers_.find(id);
+  if (it == timers_.end()) return;
+  Timer* t = it->second;
+  timers_.erase(it);
+  uv_timer_stop(&t->handle);
+  uv_close(reinterpret_cast<uv_handle_t*>(&t->handle),
+           [](uv_handle_t* h) { delete static_cast<Timer*>(h->data); });
+}
+
+void Loop::run() { uv_run(&loop_, UV_RUN_DEFAULT); }
+
+sockaddr_in parse_endpoint(const std::string& endpoint) {
+  const auto colon = endpoint.rfind(':');
+  sockaddr_in addr{};
+  if (colon == std::string::npos || colon + 1 >= endpoint.size() || endpoint.size() - colon > 6)
+    throw std::invalid_argument("bad endpoint " + endpoint);
+  int port = 0;
+  for (std::size_t i = colon + 1; i < endpoint.size(); ++i) {
+    if (endpoint[i] < '0' || endpoint[i] > '9')
+      throw std::invalid_argument("bad endpoint " + endpoint);
+    port = port * 10 + (endpoint[i] - '0');
+  }
+  if (port > 65535 || uv_ip4_addr(endpoint.substr(0, colon).c_str(), port, &addr) != 0)
+    throw std::invalid_argument("bad endpoint " + endpoint);
+  return addr;
+}
+
+}  // namespace seampass::net
--- /dev/null
+++ b/src/rpc/peer.h
@@ -0,0 +1,45 @@
+// Messages between controllers as plain structures, and the transport that carries them.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <variant>
+
+#include "wire/types.h"
+
+namespace seampass::rpc {
+
+struct Accepted {
+  std::string id, record;
+  std::uint64_t version = 0;
+};
+
+struct Ask {
+  std::uint64_t number = 0;
+  std::string id;
+  bool cancel = false;
+};
+
+enum class Verdict { cannot, known, unknown };
+
+struct Answer {
+  std::uint64_t number = 0;
+  Verdict verdict = Verdict::cannot;
+  wire::JobStatus status;
+};
+
+using Message = std::variant<Accepted, Ask, Answer>;
+using Receive = std::function<void(const std::string& from, const Message&)>;
+
+class PeerTransport {
+ public:
+  virtual ~PeerTransport() = default;
+  // Best effort, in order while a connection lasts.
+  virtual void send(const std::string& node, const Message& message) = 0;
+  // The link to a node seems stuck: give its connection up.
+  virtual void reset(const std::string& node) = 0;
+  virtual void on_receive(Receive receive) = 0;
+};
+
+}  // namespace seampass::rpc
--- /dev/null
+++ b/src/sched/picture.h
@@ -0,0 +1,123 @@
+// The scheduler's input and output. Pure: no clock, no I/O, no randomness; whoever builds a
+// Picture has already turned times into plain numbers.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "wire/types.h"
+
+namespace seampass::sched {
+
+struct Need {
+  double cpus = 0, gpus = 0, memory_gb = 0;
+
+  bool fits_in(const Need& room) const {
+    constexpr double slack = 1e-6;  // amounts are decimal fractions summed in binary
+    return cpus <= room.cpus + slack && gpus <= room.gpus + slack &&
+           memory_gb <= room.memory_gb + slack;
+  }
+  Need& operator+=(const Need& o) {
+    cpus += o.cpus;
+    gpus += o.gpus;
+    memory_gb += o.memory_gb;
+    return *this;
+  }
+  Need& operator-=(const Need& o) {
+    cpus -= o.cpus;
+    gpus -= o.gpus;
+    memory_gb -= o.memory_gb;
+    return *this;
+  }
+};
+
+struct MachineView {
+  std::string name, type, zone;
+  bool spot = false;
+  bool open = false;     // tasks may be started on it now
+  bool booting = false;  // will be open later
+  Need total, free;
+  double price = 0;  // an hour
+  std::set<std::string> images;
+};
+
+struct Placement {
+  std::uint32_t task = 0;
+  std::size_t machine = 0;  // index into Picture::machines
+};
+
+struct JobView {
+  std::string id, team;
+  wire::JobKind kind = wire::JobKind::array;
+  wire::Priority priority = wire::Priority::normal;
+  std::int64_t created_ms = 0;
+  Need need;
+  const std::optional<std::vector<std::string>>* types = nullptr;  // null: any
+  std::optional<std::string> zone;
+  bool one_zone = false, spread = false, spot = false;
+  std::string image;
+  std::uint32_t tasks = 0;
+  std::vector<std::uint32_t> pending;  // tasks to place, lowest first; may be cut short
+  std::map<std::string, std::uint32_t> placed;  // by zone: tasks still charged, any attempt
+  bool blocked = false;     // nothing may be placed now
+  bool whole_only = false;  // a gang that timed out once: hold nothing short of its minimum
+  std::vector<Placement> held;
+};
+
+struct TeamView {
+  std::optional<double> cpus_max, gpus_max;
+  double cpus = 0, gpus = 0;  // charged and held
+
+  // How many tasks of this need the limit still allows.
+  std::uint32_t allows(const Need& need) const;
+};
+
+enum class MachineChoice { first_fit, scored };
+
+struct Picture {
+  std::vector<MachineView> machines;
+  std::vector<JobView> jobs;
+  std::map<std::string, TeamView> teams;
+  MachineChoice choice = MachineChoice::scored;
+};
+
+struct Batch {
+  std::size_t job = 0;  // index into Picture::jobs
+  std::vector<Placement> tasks;
+};
+
+struct Decisions {
+  std::vector<Batch> starts;
+  std::vector<Batch> holds;  // each gang's whole new set; a gang not named holds nothing
+};
+
+// Queue sort: priority, creation time, id.
+std::vector<std::size_t> queue_order(const std::vector<JobView>& jobs);
+
+// Filter: may a task of this job ever be on this machine, room aside?
+bool allowed(const JobView& job, const std::string& type, const std::string& zone, bool spot);
+
+// One scheduling pass. The picture is left as it is after the decisions: room and team use taken,
+// placed tasks no longer pending.
+Decisions pass(Picture& picture);
+
+struct RentalOption {
+  std::string type, zone;
+  bool spot = false;
+  double price = 0;
+  Need total;
+};
+
+struct RentalWish {
+  std::size_t option = 0;
+  int count = 0;
+};
+
+// Which machines to rent for what a pass left pending, after room that is booting is counted.
+std::vector<RentalWish> plan_rentals(Picture picture, const std::vector<RentalOption>& options);
+
+}  // namespace seampass::sched
--- /dev/null
+++ b/src/state/client.cc
@@ -0,0 +1,223 @@
+#include "state/client.h"
+
+#include <algorithm>
+
+namespace seampass::state {
+
+using net::Call;
+using net::Ms;
+using net::Reply;
+using wire::Json;
+
+namespace {
+
+Outcome outcome_of(const Reply& r) {
+  switch (r.fate) {
+    case Reply::Fate::not_sent:
+      return Outcome::refused;
+    case Reply::Fate::unknown:
+      return Outcome::unknown;
+    case Reply::Fate::answered:
+      break;
+  }
+  if (r.status == 200) return Outcome::ok;
+  if (r.status == 404 || r.status == 410) return Outcome::missing;
+  if (r.status == 409) return Outcome::conflict;
+  if (r.status == 429 || r.status == 503) return Outcome::refused;
+  return Outcome::unknown;
+}
+
+// A malformed answer counts as none.
+template <typename Result, typename Fill>
+Result parsed(const Reply& r, Fill fill) {
+  Result result;
+  result.outcome = outcome_of(r);
+  if (result.outcome != Outcome::ok && result.outcome != Outcome::conflict) return result;
+  try {
+    fill(result, wire::parse_object(r.body));
+  } catch (const wire::Malformed&) {
+    result = Result{};
+  } catch (const Json::exception&) {
+    result = Result{};
+  }
+  return result;
+}
+
+Item item_from(const Json& o) {
+  Item i;
+  i.key = wire::text_field(o, "path");
+  i.value = o.at("v");
+  i.version = wire::count_field(o, "stamp");
+  if (o.contains("permit") && o.at("permit").is_number_unsigned())
+    i.lease = o.at("permit").get<std::uint64_t>();
+  return i;
+}
+
+}  // namespace
+
+Client::Client(net::Runtime& runtime, net::HttpCaller& http, std::string endpoint, double rps,
+               double write_rps, Ms timeout)
+    : runtime_(runtime),
+      http_(http),
+      endpoint_(std::move(endpoint)),
+      rps_(rps),
+      write_rps_(write_rps),
+      tokens_(rps),
+      write_tokens_(write_rps),
+      timeout_(timeout),
+      refilled_(runtime.now()) {}
+
+void Client::get(const std::string& key, std::function<void(GetResult)> done, Urgency urgency) {
+  submit(urgency, Call{endpoint_, "GET", "/keys/" + key, "", timeout_}, 0,
+         [done = std::move(done)](const Reply& r) {
+           done(parsed<GetResult>(
+               r, [](GetResult& g, const Json& o) { g.item = item_from(o); }));
+         });
+}
+
+void Client::list(const std::string& prefix, const std::string& after,
+                  std::function<void(ListResult)> done) {
+  std::string path = "/keys?under=" + prefix + "&most=500";
+  if (!after.empty()) path += "&since=" + after;
+  submit(Urgency::verdict, Call{endpoint_, "GET", std::move(path), "", 2 * timeout_}, 0,
+         [done = std::move(done)](const Reply& r) {
+           done(parsed<ListResult>(r, [](ListResult& l, const Json& o) {
+             for (const Json& row : o.at("rows")) l.items.push_back(item_from(row));
+             l.more = wire::flag_field(o, "has_next");
+             l.revision = wire::count_field(o, "ledger_rev");
+           }));
+         });
+}
+
+void Client::txn(Txn txn, Urgency urgency, std::function<void(TxnResult)> done) {
+  Json conditions = Json::array(), changes = Json::array();
+  for (const Condition& c : txn.conditions)
+    conditions.push_back({{"path", c.key}, {"stamp", c.version}});
+  for (Change& c : txn.changes) {
+    Json o = c.value ? Json{{"write", c.key}, {"v", std::move(*c.value)}} : Json{{"delete", c.key}};
+    if (c.value && c.lease != 0) o["permit"] = c.lease;
+    changes.push_back(std::move(o));
+  }
+  const int writes = static_cast<int>(txn.changes.size());
+  Json body{{"if", std::move(conditions)}, {"apply", std::move(changes)}};
+  submit(urgency, Call{endpoint_, "POST", "/txn", body.dump(), timeout_}, writes,
+         [done = std::move(done)](const Reply& r) {
+           TxnResult result = parsed<TxnResult>(r, [](TxnResult& t, const Json& o) {
+             t.revision = wire::count_field(o, "ledger_rev");
+             if (t.outcome != Outcome::conflict) return;
+             for (const Json& k : o.at("failed")) t.failed.push_back(k.get<std::string>());
+           });
+           // 400 is said of a lease that has ended, whatever the conditions are.
+           if (r.is(400)) result.outcome = Outcome::missing;
+           done(std::move(result));
+         });
+}
+
+void Client::watch(const std::string& prefix, Version since, Ms wait,
+                   std::function<void(WatchResult)> done) {
+  std::string path = "/watch?under=" + prefix + "&since=" + std::to_string(since) +
+                     "&block_ms=" + std::to_string(wait);
+  submit(Urgency::lease, Call{endpoint_, "GET", std::move(path), "", wait + timeout_}, 0,
+         [done = std::move(done)](const Reply& r) {
+           done(parsed<WatchResult>(r, [](WatchResult& w, const Json& o) {
+             w.revision = wire::count_field(o, "ledger_rev");
+             for (const Json& e : o.at("log")) {
+               Event event;
+               event.version = wire::count_field(e, "stamp");
+               if (e.contains("write")) {
+                 event.key = wire::text_field(e, "write");
+                 event.value = e.at("v");
+               } else {
+                 event.key = wire::text_field(e, "delete");
+               }
+               w.events.push_back(std::move(event));
+             }
+           }));
+         });
+}
+
+void Client::grant(Ms ttl, std::function<void(LeaseResult)> done) {
+  submit(Urgency::lease,
+         Call{endpoint_, "POST", "/leases", Json{{"ttl_ms", ttl}}.dump(), timeout_}, 0,
+         [done = std::move(done)](const Reply& r) {
+           done(parsed<LeaseResult>(r, [](LeaseResult& l, const Json& o) {
+             l.lease = wire::count_field(o, "permit");
+           }));
+         });
+}
+
+void Client::renew(std::uint64_t lease, std::function<void(Outcome)> done) {
+  submit(Urgency::lease,
+         Call{endpoint_, "POST", "/leases/" + std::to_string(lease) + "/extend", "", timeout_}, 0,
+         [done = std::move(done)](const Reply& r) { done(outcome_of(r)); });
+}
+
+void Client::end(std::uint64_t lease, std::function<void(Outcome)> done) {
+  submit(Urgency::lease,
+         Call{endpoint_, "DELETE", "/leases/" + std::to_string(lease), "", timeout_}, 0,
+         [done = std::move(done)](const Reply& r) { done(outcome_of(r)); });
+}
+
+Ms Client::backlog() const {
+  std::size_t requests = 0;
+  int writes = 0;
+  for (const auto& q : queues_)
+    for (const Pending& p : q) {
+      ++requests;
+      writes += p.writes;
+    }
+  return net::ms(std::max(static_cast<double>(requests) / rps_, writes / write_rps_));
+}
+
+void Client::submit(Urgency urgency, Call call, int writes, net::ReplyFn done) {
+  Pending p{std::move(call), writes, std::move(done)};
+  // What keeps the leadership alive never waits behind other work.
+  if (urgency == Urgency::lease) {
+    refill();
+    tokens_ -= 1;
+    return send(std::move(p));
+  }
+  queues_[static_cast<int>(urgency)].push_back(std::move(p));
+  pump();
+}
+
+void Client::refill() {
+  const Ms now = runtime_.now();
+  const double s = static_cast<double>(now - refilled_) / 1000.0;
+  refilled_ = now;
+  // Half a second's worth of burst: the other controllers draw on the same limits.
+  tokens_ = std::min(rps_ / 2, tokens_ + s * rps_);
+  write_tokens_ = std::min(write_rps_ / 2, write_tokens_ + s * write_rps_);
+}
+
+void Client::pump() {
+  refill();
+  for (auto& q : queues_) {
+    while (!q.empty()) {
+      const bool enough = tokens_ >= 1 && (q.front().writes == 0 || write_tokens_ >= 1);
+      if (!enough) {
+        if (timer_ == 0)
+          timer_ = runtime_.after(net::ms(1 / write_rps_), [this] {
+            timer_ = 0;
+            pump();
+          });
+        return;
+      }
+      Pending p = std::move(q.front());
+      q.pop_front();
+      tokens_ -= 1;
+      write_tokens_ -= p.writes;  // below 0 for a large one: the next waits for it
+      send(std::move(p));
+    }
+  }
+}
+
+void Client::send(Pending p) {
+  http_.call(std::move(p.call), [this, done = std::move(p.done)](const Reply& r) {
+    const bool served = r.fate == Reply::Fate::answered && r.status != 503 && r.status != 429;
+    failures_ = served ? 0 : failures_ + 1;
+    done(r);
+  });
+}
+
+}  // namespace seampass::state
