--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -32,8 +32,8 @@
           runtime, state_, settings_.node, times_of(settings_), [this] { controller_.begin(); },
           [this] { controller_.stop(); }),
       controller_(runtime, state_, cloud_, types_,
-                  workers::Client(http, ms(settings_.report_s / 3)), election_, archive_,
-                  settings_, operator_),
+                  workers::Client(http, ms(settings_.report_s / 3)), election_, archive_, settings_,
+                  operator_),
       desk_(runtime, state_, types_, election_, controller_, archive_, peers, settings_) {}
 
 void Node::start() {
--- a/src/cloud/client.cc
+++ b/src/cloud/client.cc
@@ -1,5 +1,7 @@
 #include "cloud/client.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace seampass::cloud {
@@ -24,8 +26,10 @@
            if (!r.is(200)) return done(false, {});
            try {
              auto types = wire::catalog_from(r.body);
-             done(!types.empty(), std::move(types));
-           } catch (const wire::Malformed&) {
+             const bool any = !types.empty();
+             done(any, std::move(types));
+           } catch (const wire::Malformed& e) {
+             spdlog::error("unreadable catalog: {}", e.what());
              done(false, {});
            }
          });
--- a/src/cloud/client.h
+++ b/src/cloud/client.h
@@ -22,8 +22,7 @@
   void catalog(std::function<void(bool, std::vector<wire::MachineType>)> done);
   void rent(const wire::Rental& rental, std::function<void(Rented, std::vector<std::string>)> done);
   void remove(const std::vector<std::string>& machines, std::function<void(bool)> done);
-  void machines(const std::string& after,
-                std::function<void(bool, wire::MachinePage)> done);
+  void machines(const std::string& after, std::function<void(bool, wire::MachinePage)> done);
 
  private:
   void submit(net::Call call, net::ReplyFn done);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -48,9 +48,9 @@
 
 // Each default is a ratio to the platform's figures; deploy/operator.example.yaml documents them.
 struct Operator {
-  double hold_timeout_s = 20;    // how long a gang may hold room short of its minimum (design: 20)
-  double idle_return = 1.0;      // an idle machine is returned after this many of its boot times
-  double spare = 0;              // machines kept free per class with a short start aim
+  double hold_timeout_s = 20;  // how long a gang may hold room short of its minimum (design: 20)
+  double idle_return = 1.0;    // an idle machine is returned after this many of its boot times
+  double spare = 0;            // machines kept free per class with a short start aim
   std::string machine_choice = "scored";  // or "first-fit"
 };
 
--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -107,12 +107,12 @@
   const std::string why = impossible(job);
   if (!why.empty()) {
     // A job that was accepted once stays so, whatever the settings or types say by now.
-    return archive_.read(id, [answer, why](Archive::Found found, const wire::JobStatus& status,
-                                           const state::Item&) {
-      if (found == Archive::Found::cannot) return answer(later("state not available"));
-      if (found == Archive::Found::none) return answer(refusal(422, why));
-      answer({200, wire::accepted_json(status), 0});
-    });
+    return archive_.read(
+        id, [answer, why](Archive::Found found, const wire::JobStatus& status, const state::Item&) {
+          if (found == Archive::Found::cannot) return answer(later("state not available"));
+          if (found == Archive::Found::none) return answer(refusal(422, why));
+          answer({200, wire::accepted_json(status), 0});
+        });
   }
   // More waits for the store than it can take before the user would give up.
   if (state_.backlog() > net::ms(settings_.report_s / 3)) return answer(later("busy"));
@@ -139,16 +139,17 @@
     answer({200, known_accepted ? wire::accepted_json(s) : wire::to_json(s), 0});
   };
   if (const auto v = archive_.verdict(id)) return tell(*v);
-  ask_leader(id, false, net::ms(settings_.report_s / 5), [this, id, answer, tell](const rpc::Answer& a) {
-    if (a.verdict == rpc::Verdict::known) return tell(a.status);
-    if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
-    archive_.read(id, [answer, tell](Archive::Found found, const wire::JobStatus& status,
-                                     const state::Item&) {
-      if (found == Archive::Found::cannot) return answer(later("state not available"));
-      if (found == Archive::Found::none) return answer(refusal(404, "no such job"));
-      tell(status);
-    });
-  });
+  ask_leader(id, false, net::ms(settings_.report_s / 5),
+             [this, id, answer, tell](const rpc::Answer& a) {
+               if (a.verdict == rpc::Verdict::known) return tell(a.status);
+               if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
+               archive_.read(id, [answer, tell](Archive::Found found, const wire::JobStatus& status,
+                                                const state::Item&) {
+                 if (found == Archive::Found::cannot) return answer(later("state not available"));
+                 if (found == Archive::Found::none) return answer(refusal(404, "no such job"));
+                 tell(status);
+               });
+             });
 }
 
 void Desk::cancel(const std::string& id, const Answer& answer) {
@@ -214,8 +215,8 @@
     runtime_.cancel(w.timer);
     rpc::Answer a = *answer;
     a.status.id = w.id;
-    if (a.verdict == rpc::Verdict::known && (a.status.stage == wire::Stage::done ||
-                                             a.status.stage == wire::Stage::cancelled))
+    if (a.verdict == rpc::Verdict::known &&
+        (a.status.stage == wire::Stage::done || a.status.stage == wire::Stage::cancelled))
       archive_.remember(a.status);
     w.reply(a);
   }
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -180,23 +180,24 @@
 
 void Controller::watch() {
   const std::uint64_t term = term_;
-  state_.watch("open/", watched_, net::ms(settings_.lease_s), [this, term](const state::WatchResult& r) {
-    if (term != term_) return;
-    if (r.outcome == Outcome::missing) {
-      // Too far behind: list again. Jobs known already are not touched.
-      return load("open/", "", true);
-    }
-    if (r.outcome != Outcome::ok) {
-      runtime_.after(net::ms(settings_.report_s / 10), [this, term] {
-        if (term == term_) watch();
-      });
-      return;
-    }
-    watched_ = r.revision;
-    for (const state::Event& e : r.events)
-      if (e.value) accepted(e.key.substr(5), *e.value, e.version);
-    watch();
-  });
+  state_.watch("open/", watched_, net::ms(settings_.lease_s),
+               [this, term](const state::WatchResult& r) {
+                 if (term != term_) return;
+                 if (r.outcome == Outcome::missing) {
+                   // Too far behind: list again. Jobs known already are not touched.
+                   return load("open/", "", true);
+                 }
+                 if (r.outcome != Outcome::ok) {
+                   runtime_.after(net::ms(settings_.report_s / 10), [this, term] {
+                     if (term == term_) watch();
+                   });
+                   return;
+                 }
+                 watched_ = r.revision;
+                 for (const state::Event& e : r.events)
+                   if (e.value) accepted(e.key.substr(5), *e.value, e.version);
+                 watch();
+               });
 }
 
 // ---- Jobs ----
@@ -453,8 +454,8 @@
 }
 
 void Controller::take_report(Machine& m, const wire::WorkerReport& report, bool checkin) {
-  const bool newer = report.session > m.session ||
-                     (report.session == m.session && report.seq > m.seq);
+  const bool newer =
+      report.session > m.session || (report.session == m.session && report.seq > m.seq);
   if (!newer) return;
   if (report.session > m.session) m.lost.clear();
   m.session = report.session;
@@ -593,8 +594,8 @@
   const Ms now = runtime_.now();
   for (const wire::TaskReport& t : report.tasks) {
     const auto it = m.charges.find({t.job, t.index});
-    const Charge* c = it == m.charges.end() || it->second->attempt != t.attempt ? nullptr
-                                                                                : it->second;
+    const Charge* c =
+        it == m.charges.end() || it->second->attempt != t.attempt ? nullptr : it->second;
     if (t.state == TaskState::exited) {
       // Forgotten only after the record of its end is durable, and never while a copy of its
       // start may still come: that would run it again.
@@ -609,8 +610,7 @@
     }
     present.insert({t.job, t.index});
     if (c->stop) {
-      const bool overdue =
-          now - c->stop_since > net::ms(c->grace_s + 2 * settings_.gang_peer_s);
+      const bool overdue = now - c->stop_since > net::ms(c->grace_s + 2 * settings_.gang_peer_s);
       orders.push_back({Verb::stop, t.job, t.index, t.attempt, overdue ? 0 : c->grace_s});
     }
   }
@@ -632,25 +632,25 @@
   const std::uint64_t term = term_;
   const std::uint64_t session = m.session;
   const std::string name = m.name;
-  workers_.send(
-      m.addr, election_.warrant(), session, commands,
-      [this, term, name, session, starts](workers::Sent sent,
-                                          const std::optional<wire::WorkerReport>& report) {
-        if (term != term_) return;
-        for (const auto& [id, task, attempt] : starts) {
-          const auto j = jobs_.find(id);
-          if (j == jobs_.end()) continue;
-          const auto c = j->second->charges.find(task);
-          if (c != j->second->charges.end() && c->second.attempt == attempt) --c->second.in_flight;
-        }
-        Machine* machine = fleet_.find(name);
-        if (!machine) return;
-        if (sent == workers::Sent::unknown && machine->session == session)
-          machine->lost.insert(starts.begin(), starts.end());
-        if (!report || report->machine != name) return;
-        if (report->token > election_.warrant()) return election_.lost();
-        take_report(*machine, *report, false);
-      });
+  workers_.send(m.addr, election_.warrant(), session, commands,
+                [this, term, name, session, starts](
+                    workers::Sent sent, const std::optional<wire::WorkerReport>& report) {
+                  if (term != term_) return;
+                  for (const auto& [id, task, attempt] : starts) {
+                    const auto j = jobs_.find(id);
+                    if (j == jobs_.end()) continue;
+                    const auto c = j->second->charges.find(task);
+                    if (c != j->second->charges.end() && c->second.attempt == attempt)
+                      --c->second.in_flight;
+                  }
+                  Machine* machine = fleet_.find(name);
+                  if (!machine) return;
+                  if (sent == workers::Sent::unknown && machine->session == session)
+                    machine->lost.insert(starts.begin(), starts.end());
+                  if (!report || report->machine != name) return;
+                  if (report->token > election_.warrant()) return election_.lost();
+                  take_report(*machine, *report, false);
+                });
 }
 
 void Controller::starts_durable(const std::string& id,
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -47,7 +47,7 @@
   std::int64_t created_ms = 0;
   state::Version open_version = 0;
   std::uint64_t last_attempt = 0;
-  std::vector<bool> taken;     // finished or charged
+  std::vector<bool> taken;  // finished or charged
   std::vector<bool> finished;
   std::uint32_t finished_count = 0;
   std::uint32_t hint = 0;  // no task before this one is free
@@ -78,8 +78,7 @@
  public:
   Controller(net::Runtime& runtime, state::Client& state, cloud::Client& cloud,
              const cloud::TypeBook& types, workers::Client workers, Election& election,
-             jobs::Archive& archive, const config::Settings& settings,
-             const config::Operator& op);
+             jobs::Archive& archive, const config::Settings& settings, const config::Operator& op);
 
   void begin();
   void stop();
@@ -126,7 +125,8 @@
   void task_exited(Charge& charge, const wire::TaskReport& task);
   std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
   void send(Machine& machine, std::vector<wire::Command> commands);
-  void starts_durable(const std::string& id, const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks);
+  void starts_durable(const std::string& id,
+                      const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks);
 
   // Scheduling.
   void kick();
--- a/src/leader/fleet.cc
+++ b/src/leader/fleet.cc
@@ -165,8 +165,7 @@
     }
   }
   for (Machine* m : doomed) {
-    spdlog::debug("returning {} ({}, up {}, {} tasks)", m->name, m->type, m->up,
-                  m->charges.size());
+    spdlog::debug("returning {} ({}, up {}, {} tasks)", m->name, m->type, m->up, m->charges.size());
     remove(*m);
   }
 }
@@ -179,8 +178,8 @@
       for (const bool spot : {true, false}) {
         const auto it = refused_until_.find({name, zone, spot});
         if (it != refused_until_.end() && now < it->second) continue;
-        list.push_back({name, zone, spot, spot ? t.spot_price : t.price,
-                        {t.cpus, t.gpus, t.memory_gb}});
+        list.push_back(
+            {name, zone, spot, spot ? t.spot_price : t.price, {t.cpus, t.gpus, t.memory_gb}});
       }
   return list;
 }
--- a/src/leader/ledger.cc
+++ b/src/leader/ledger.cc
@@ -109,10 +109,9 @@
     urgency = Urgency::verdict;
     txn.conditions.push_back({ends_key(job), 0});
     txn.conditions.push_back({open_key(job), e.ending->open_version});
-    txn.changes.push_back({ends_key(job),
-                           wire::Json{{"stage", wire::stage_name(e.ending->stage)},
-                                      {"done", e.ending->done}},
-                           0});
+    txn.changes.push_back(
+        {ends_key(job),
+         wire::Json{{"stage", wire::stage_name(e.ending->stage)}, {"done", e.ending->done}}, 0});
     txn.changes.push_back({open_key(job), std::nullopt, 0});
   }
   std::vector<std::uint32_t> chunks;
@@ -160,8 +159,8 @@
                if (t.outcome == Outcome::conflict &&
                    std::find(t.failed.begin(), t.failed.end(), Election::kKey) != t.failed.end())
                  return hooks_.fenced();
-               const bool over = std::find(t.failed.begin(), t.failed.end(), ends_key(job)) !=
-                                 t.failed.end();
+               const bool over =
+                   std::find(t.failed.begin(), t.failed.end(), ends_key(job)) != t.failed.end();
                read_back(job, chunks, verdict || over);
              });
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -3,7 +3,6 @@
 #include <http_parser.h>
 
 #include <climits>
-
 #include <stdexcept>
 
 namespace seampass::net {
@@ -84,8 +83,7 @@
     if (c->waiting) {
       if (used < n) c->left.assign(data + used, n - used);
       c->in_request = false;
-      server->handler_(c->request,
-                       [server, id](Response r) { server->answer(id, std::move(r)); });
+      server->handler_(c->request, [server, id](Response r) { server->answer(id, std::move(r)); });
       return;
     }
     if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
@@ -177,15 +175,14 @@
   w->data.append("\r\n").append(r.body);
   w->req.data = w;
   uv_buf_t buf = uv_buf_init(w->data.data(), static_cast<unsigned>(w->data.size()));
-  const int rc = uv_write(&w->req, reinterpret_cast<uv_stream_t*>(&c->tcp), &buf, 1,
-                          [](uv_write_t* req, int status) {
-                            auto* write = static_cast<Write*>(req->data);
-                            const auto found = write->server->conns_.find(write->conn);
-                            if (found != write->server->conns_.end() &&
-                                (status != 0 || !write->keep))
-                              found->second->close();
-                            delete write;
-                          });
+  const int rc = uv_write(
+      &w->req, reinterpret_cast<uv_stream_t*>(&c->tcp), &buf, 1, [](uv_write_t* req, int status) {
+        auto* write = static_cast<Write*>(req->data);
+        const auto found = write->server->conns_.find(write->conn);
+        if (found != write->server->conns_.end() && (status != 0 || !write->keep))
+          found->second->close();
+        delete write;
+      });
   if (rc != 0) {
     delete w;
     return c->close();
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -60,8 +60,8 @@
 }
 
 // Places as many of `tasks` as go, in `zone` if named, and reserves their room.
-std::vector<Placement> place(Picture& p, const JobView& job, const std::vector<std::uint32_t>& tasks,
-                             const std::string* zone) {
+std::vector<Placement> place(Picture& p, const JobView& job,
+                             const std::vector<std::uint32_t>& tasks, const std::string* zone) {
   Zones placed = job.placed;
   std::vector<Placement> result;
   std::uint32_t room = p.teams[job.team].allows(job.need);
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -61,9 +61,9 @@
   bool one_zone = false, spread = false, spot = false;
   std::string image;
   std::uint32_t tasks = 0;
-  std::vector<std::uint32_t> pending;  // tasks to place, lowest first; may be cut short
+  std::vector<std::uint32_t> pending;           // tasks to place, lowest first; may be cut short
   std::map<std::string, std::uint32_t> placed;  // by zone: tasks still charged, any attempt
-  bool blocked = false;     // nothing may be placed now
+  bool blocked = false;                         // nothing may be placed now
   bool whole_only = false;  // a gang that timed out once: hold nothing short of its minimum
   std::vector<Placement> held;
 };
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -70,8 +70,7 @@
 void Client::get(const std::string& key, std::function<void(GetResult)> done, Urgency urgency) {
   submit(urgency, Call{endpoint_, "GET", "/keys/" + key, "", timeout_}, 0,
          [done = std::move(done)](const Reply& r) {
-           done(parsed<GetResult>(
-               r, [](GetResult& g, const Json& o) { g.item = item_from(o); }));
+           done(parsed<GetResult>(r, [](GetResult& g, const Json& o) { g.item = item_from(o); }));
          });
 }
 
@@ -137,12 +136,10 @@
 }
 
 void Client::grant(Ms ttl, std::function<void(LeaseResult)> done) {
-  submit(Urgency::lease,
-         Call{endpoint_, "POST", "/leases", Json{{"ttl_ms", ttl}}.dump(), timeout_}, 0,
-         [done = std::move(done)](const Reply& r) {
-           done(parsed<LeaseResult>(r, [](LeaseResult& l, const Json& o) {
-             l.lease = wire::count_field(o, "permit");
-           }));
+  submit(Urgency::lease, Call{endpoint_, "POST", "/leases", Json{{"ttl_ms", ttl}}.dump(), timeout_},
+         0, [done = std::move(done)](const Reply& r) {
+           done(parsed<LeaseResult>(
+               r, [](LeaseResult& l, const Json& o) { l.lease = wire::count_field(o, "permit"); }));
          });
 }
 
