--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -475,7 +475,9 @@
   std::set<std::pair<std::string, std::uint32_t>> present;
   std::vector<std::pair<Charge*, wire::TaskReport>> exits;
   m.strangers = 0;
+  m.exited.clear();
   for (const wire::TaskReport& t : report.tasks) {
+    if (t.state == TaskState::exited) m.exited.insert({t.job, t.index, t.attempt});
     const auto it = m.charges.find({t.job, t.index});
     Charge* c = it == m.charges.end() ? nullptr : it->second;
     if (c && c->attempt != t.attempt) c = nullptr;
@@ -671,7 +673,14 @@
     }
     c.sent = true;
     ++c.in_flight;
-    by_machine[c.machine].push_back({Verb::start, id, task, attempt, 0});
+    auto& commands = by_machine[c.machine];
+    // An earlier attempt that ended there would make this one `busy`. The record that is durable
+    // now no longer has it, so it may be forgotten.
+    for (auto e = c.machine->exited.lower_bound({id, task, 0});
+         e != c.machine->exited.end() && std::get<0>(*e) == id && std::get<1>(*e) == task; ++e)
+      if (c.machine->lost.count(*e) == 0)
+        commands.push_back({Verb::forget, id, task, std::get<2>(*e), 0});
+    commands.push_back({Verb::start, id, task, attempt, 0});
   }
   for (auto& [machine, commands] : by_machine) send(*machine, std::move(commands));
   const bool gang = j->second->gang();
@@ -773,6 +782,13 @@
     v.tasks = job->spec.tasks;
     for (const auto& [task, c] : job->charges) ++v.placed[c.machine->zone];
     v.blocked = now < job->retry_at;
+    // Where a start of an earlier attempt may still come late, that attempt is never forgotten,
+    // and would be in the way of this one.
+    for (const auto& [name, m] : fleet_.machines()) {
+      const auto e = m.lost.lower_bound({id, 0, 0});
+      if (e != m.lost.end() && std::get<0>(*e) == id && index.count(name) != 0)
+        v.avoid.insert(index[name]);
+    }
     v.whole_only = job->whole_only;
     std::vector<std::pair<std::uint32_t, std::string>> held;
     for (const auto& [task, name] : job->held) {
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -38,6 +38,7 @@
   std::map<std::pair<std::string, std::uint32_t>, Charge*> charges;
   std::size_t strangers = 0;  // reported tasks that nothing charges
   std::set<std::string> images;
+  std::set<AttemptName> exited;  // reported as ended and not forgotten yet
   // Starts sent to /commands without an answer: they may be executed late, until the session
   // changes.
   std::set<AttemptName> lost;
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -37,7 +37,7 @@
     const MachineView& m = p.machines[i];
     if (!m.open || (only_zone && m.zone != *only_zone)) continue;
     if (!job.need.fits_in(m.free) || !allowed(job, m.type, m.zone, m.spot)) continue;
-    if (!zone_allows(job, placed, m.zone)) continue;
+    if (!zone_allows(job, placed, m.zone) || job.avoid.count(i) != 0) continue;
     if (p.choice == MachineChoice::first_fit) return i;
     if (!best || score(job, m) < score(job, p.machines[*best])) best = i;
   }
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -63,8 +63,9 @@
   std::uint32_t tasks = 0;
   std::vector<std::uint32_t> pending;           // tasks to place, lowest first; may be cut short
   std::map<std::string, std::uint32_t> placed;  // by zone: tasks still charged, any attempt
-  bool blocked = false;                         // nothing may be placed now
-  bool whole_only = false;  // a gang that timed out once: hold nothing short of its minimum
+  std::set<std::size_t> avoid;  // machines that must not be given a task of this job now
+  bool blocked = false;         // nothing may be placed now
+  bool whole_only = false;      // a gang that timed out once: hold nothing short of its minimum
   std::vector<Placement> held;
 };
 
--- /dev/null
+++ b/tests/cluster_test.cc
@@ -0,0 +1,398 @@
+// The whole service in simulated time, against our own stand-ins, with a judge of the rules.
+#include <gtest/gtest.h>
+
+#include "standins/world.h"
+
+namespace seampass::standins {
+namespace {
+
+bool is(const net::Call& c, const char* path) { return c.path == path; }
+
+TEST(Cluster, RunsJobsAndAnswersOnEveryNode) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  EXPECT_EQ(w.submit("n0", array_job("wk-1", 5)).status, 201);
+  EXPECT_EQ(w.submit("n1", gang_job("wk-2", 2)).status, 201);
+  EXPECT_EQ(w.submit("n2", array_job("wk-1", 5)).status, 200);  // the same job again
+  EXPECT_TRUE(w.reaches("wk-1", "done", 60000));
+  EXPECT_TRUE(w.reaches("wk-2", "done", 60000));
+  for (const char* n : {"n0", "n1", "n2"}) {
+    EXPECT_EQ(w.poll(n, "wk-1").stage(), "done") << n;
+    EXPECT_EQ(w.poll(n, "wk-2").body["done"], 2) << n;
+    EXPECT_EQ(w.poll(n, "wk-777").status, 404) << n;
+    EXPECT_EQ(w.submit(n, array_job("wk-1", 5)).stage(), "done") << n;
+    EXPECT_EQ(w.cancel(n, "wk-1").stage(), "done") << n;
+  }
+  for (const auto& [task, n] : w.judge.starts) EXPECT_EQ(n, 1) << task.job;
+  w.time.run_for(20000);
+  EXPECT_EQ(w.state.count("open/"), 0u);
+  EXPECT_EQ(w.state.count("work/"), 0u);
+  EXPECT_EQ(w.state.count("ends/"), 2u);
+  w.expect_rules();
+}
+
+TEST(Cluster, RefusesWhatCanNeverRunAndWhatItCannotTake) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  auto job = array_job("wk-1", 1);
+  job.team = "nobody";
+  EXPECT_EQ(w.submit("n0", job).status, 422);
+  job = array_job("wk-1", 1);
+  job.cpus = 9;
+  EXPECT_EQ(w.submit("n0", job).status, 422);
+  EXPECT_EQ(w.submit("n0", gang_job("wk-1", 17)).status, 422);  // 16 GPUs at most
+  EXPECT_EQ(w.submit("n0", array_job("wk-2", 17)).status, 201);
+  EXPECT_EQ(w.ask("n0", "POST", "/api/jobs", "[]").status, 400);
+  EXPECT_EQ(w.ask("n0", "DELETE", "/api/jobs").status, 405);
+  EXPECT_EQ(w.ask("n0", "GET", "/api/else").status, 404);
+  EXPECT_EQ(w.ask("n0", "POST", "/checkin", "{}").status, w.leader() == "n0" ? 400 : 421);
+  w.state.down = true;
+  const Ms before = w.time.now();
+  EXPECT_EQ(w.submit("n1", array_job("wk-3", 1)).status, 503);
+  EXPECT_LT(w.time.now() - before, 1500);  // at once, not held
+  w.expect_rules();
+}
+
+TEST(Cluster, CancelledWorkIsGoneAndStaysCancelled) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 6, 500));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  EXPECT_EQ(w.cancel(w.follower(), "wk-1").stage(), "withdrawn");
+  w.time.run_for(10000);
+  EXPECT_TRUE(w.judge.on.empty());
+  EXPECT_EQ(w.submit("n2", array_job("wk-1", 6)).stage(), "withdrawn");
+  EXPECT_EQ(w.cancel("n0", "wk-1").stage(), "withdrawn");
+  EXPECT_EQ(w.cancel("n0", "wk-99").status, 404);
+  w.expect_rules();
+}
+
+TEST(Cluster, NextLeaderGoesOnWithWhatRuns) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 6, 30));
+  w.submit("n0", gang_job("wk-2", 1, 30));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  const std::string first = w.leader();
+  w.kill(first);
+  w.time.run_for(8000);
+  EXPECT_NE(w.leader(), "");
+  EXPECT_NE(w.leader(), first);
+  EXPECT_TRUE(w.reaches("wk-1", "done", 90000));
+  EXPECT_TRUE(w.reaches("wk-2", "done", 90000));
+  for (const auto& [task, n] : w.judge.starts) EXPECT_EQ(n, 1) << task.job << "/" << task.index;
+  w.start(first);
+  w.time.run_for(3000);
+  EXPECT_EQ(w.poll(first, "wk-1").stage(), "done");
+  w.expect_rules();
+}
+
+TEST(Cluster, RestartsInTheMiddleOfAnElection) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 8, 20));
+  for (int round = 0; round < 12; ++round) {
+    const std::string leader = w.leader();
+    if (!leader.empty()) {
+      w.kill(leader);
+      w.time.run_for(37 * round);  // back within a fraction of a second
+      w.start(leader);
+    }
+    w.time.run_for(300 + 450 * round);
+    ASSERT_LE(w.leaders(), 1);
+  }
+  EXPECT_TRUE(w.reaches("wk-1", "done", 120000));
+  w.expect_rules();
+}
+
+TEST(Cluster, AllControllersEndAtOnce) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 6, 40));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  for (const char* n : {"n0", "n1", "n2"}) w.kill(n);
+  w.time.run_for(6000);
+  for (const char* n : {"n0", "n1", "n2"}) w.start(n);
+  EXPECT_TRUE(w.reaches("wk-1", "done", 120000));
+  for (const auto& [task, n] : w.judge.starts) EXPECT_EQ(n, 1) << task.index;
+  w.expect_rules();
+}
+
+TEST(Cluster, OutageShorterThanTheGraceLosesNoWork) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 6, 60));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  w.state.down = true;
+  w.time.run_for(15000);
+  EXPECT_EQ(w.poll(w.follower(), "wk-1").status, 503);
+  w.state.come_back();
+  EXPECT_TRUE(w.reaches("wk-1", "done", 120000));
+  for (const auto& [task, n] : w.judge.starts) EXPECT_EQ(n, 1) << task.index;
+  w.expect_rules();
+}
+
+TEST(Cluster, CutOffLeaderIsReplacedAndItsWorkIsNotRunTwice) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 8, 60));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  const std::string old = w.leader();
+  // It reaches neither the state service nor its peers, but still hears its workers.
+  w.net.set_rule([old](const std::string& from, const net::Call& c) {
+    Fate f;
+    if (from == old && c.endpoint == "state:1") f.late = 60000;
+    return f;
+  });
+  w.net.set_peer_rule(
+      [old](const std::string& a, const std::string& b) { return a != old && b != old; });
+  w.time.run_for(9000);
+  const std::string next = w.leader();
+  ASSERT_NE(next, "");
+  ASSERT_NE(next, old);
+  EXPECT_EQ(w.cancel(next, "wk-1").stage(), "withdrawn");
+  w.submit(next, array_job("wk-2", 8, 10));
+  w.time.run_for(45000);
+  EXPECT_EQ(w.judge.on.count({"wk-1", 0}), 0u);
+  w.net.set_rule({});
+  w.net.set_peer_rule({});
+  EXPECT_TRUE(w.reaches("wk-2", "done", 120000));
+  EXPECT_EQ(w.poll(old, "wk-1").stage(), "withdrawn");
+  w.expect_rules();
+}
+
+TEST(Cluster, LateAndRepeatedStartsDoNotRunTwice) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  int n = 0;
+  // A third of direct commands come long after they were given up; a third lose their answer.
+  w.net.set_rule([&n](const std::string&, const net::Call& c) {
+    Fate f;
+    if (is(c, "/commands")) {
+      ++n;
+      if (n % 3 == 0) f.late = 1500 + 2500 * (n % 5);
+      if (n % 3 == 1) f.lose_answer = true;
+    }
+    return f;
+  });
+  for (int i = 0; i < 6; ++i) w.submit("n0", array_job("wk-" + std::to_string(10 + i), 4, 4));
+  w.submit("n1", gang_job("wk-20", 2, 4));
+  w.time.run_for(6000);
+  w.cancel("n0", "wk-12");
+  for (int i = 0; i < 6; ++i)
+    EXPECT_TRUE(w.reaches("wk-" + std::to_string(10 + i), i == 2 ? "withdrawn" : "done", 200000));
+  EXPECT_TRUE(w.reaches("wk-20", "done", 200000));
+  EXPECT_GT(n, 6);
+  w.time.run_for(60000);
+  w.expect_rules();
+}
+
+TEST(Cluster, LostAnswersOfTheStateServiceAreNotGuessed) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  int n = 0;
+  w.net.set_rule([&n](const std::string&, const net::Call& c) {
+    Fate f;
+    if (is(c, "/txn")) {
+      ++n;
+      if (n % 4 == 0) f.lose_answer = true;
+      if (n % 4 == 2) f.late = 3000;
+    }
+    return f;
+  });
+  for (int i = 0; i < 5; ++i) {
+    const std::string id = "wk-" + std::to_string(30 + i);
+    for (int t = 0; t < 8; ++t) {
+      const int status = w.submit("n" + std::to_string(t % 3), array_job(id, 3, 5)).status;
+      if (status == 200 || status == 201) break;
+      EXPECT_EQ(status, 503);
+    }
+  }
+  for (int i = 0; i < 5; ++i)
+    EXPECT_TRUE(w.reaches("wk-" + std::to_string(30 + i), "done", 200000));
+  w.expect_rules();
+}
+
+TEST(Cluster, DeadMachinesWorkRunsElsewhere) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 6, 30));
+  w.submit("n0", gang_job("wk-2", 2, 30));
+  ASSERT_TRUE(w.reaches("wk-2", "running", 60000));
+  w.cloud.machines.begin()->second->die();
+  EXPECT_TRUE(w.reaches("wk-1", "done", 200000));
+  EXPECT_TRUE(w.reaches("wk-2", "done", 200000));
+  w.expect_rules();
+}
+
+TEST(Cluster, FailedStartsAreTriedElsewhere) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  for (auto& [name, m] : w.cloud.machines)
+    m->fail_next(name == "m-000001" ? wire::ExitCause::error : wire::ExitCause::no_room);
+  w.submit("n0", array_job("wk-1", 5, 5));
+  w.submit("n0", gang_job("wk-2", 2, 5));
+  EXPECT_TRUE(w.reaches("wk-1", "done", 120000));
+  EXPECT_TRUE(w.reaches("wk-2", "done", 120000));
+  w.expect_rules();
+}
+
+TEST(Cluster, GangWaitsWholeUnderItsTeamsLimit) {
+  World w(1, 8);
+  ASSERT_TRUE(w.settle());
+  auto small = array_job("wk-1", 6, 20);
+  small.team = "red";  // 8 GPUs at most
+  w.submit("n0", small);
+  w.time.run_for(3000);
+  auto gang = gang_job("wk-2", 4, 5);
+  gang.team = "red";
+  w.submit("n0", gang);
+  w.time.run_for(8000);
+  for (std::uint32_t i = 0; i < 4; ++i) EXPECT_EQ(w.judge.starts.count({"wk-2", i}), 0u);
+  EXPECT_TRUE(w.reaches("wk-2", "done", 120000));
+  w.expect_rules();
+}
+
+TEST(Cluster, LargeArraysStayWithinTheStoresLimits) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  auto job = array_job("wk-1", 100000, 2);
+  EXPECT_EQ(w.submit("n0", job).status, 201);
+  w.time.run_for(120000);
+  EXPECT_GT(w.judge.done.size(), 100u);
+  EXPECT_LE(w.state.largest_value(), 8u * 1024);
+  w.kill(w.leader());
+  w.time.run_for(30000);
+  EXPECT_EQ(w.cancel("n0", "wk-1").status == 200 || w.cancel("n1", "wk-1").status == 200 ||
+                w.cancel("n2", "wk-1").status == 200,
+            true);
+  w.time.run_for(40000);
+  EXPECT_EQ(w.state.count("work/"), 0u);
+  w.expect_rules();
+}
+
+TEST(Cluster, WatchThatFellBehindIsListedAgain) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  // The leader hears of nothing: neither peers' messages nor its watch, whose log is cut.
+  w.net.set_peer_rule([](const std::string&, const std::string&) { return false; });
+  w.net.set_rule([](const std::string&, const net::Call& c) {
+    Fate f;
+    f.refuse = c.path.starts_with("/watch?under=open/");
+    return f;
+  });
+  w.time.run_for(25000);
+  EXPECT_EQ(w.submit(w.follower(), array_job("wk-1", 2, 2)).status, 201);
+  w.state.forget_log();
+  w.net.set_rule({});
+  EXPECT_TRUE(w.reaches("wk-1", "done", 90000));
+  w.expect_rules();
+}
+
+TEST(Cluster, IdleMachinesAreReturned) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 2, 2));
+  EXPECT_TRUE(w.reaches("wk-1", "done", 60000));
+  w.time.run_for(60000);
+  EXPECT_TRUE(w.cloud.machines.empty());
+  EXPECT_EQ(w.submit("n0", array_job("wk-2", 2, 2)).status, 201);  // rented anew
+  EXPECT_TRUE(w.reaches("wk-2", "done", 60000));
+  w.expect_rules();
+}
+
+// Many days of mixed troubles, each from its seed.
+class Troubles : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Troubles, BreakNoRule) {
+  const unsigned seed = GetParam();
+  World w(seed, 5);
+  std::mt19937 random(seed * 7919 + 1);
+  ASSERT_TRUE(w.settle());
+  unsigned severity = 0;
+  w.net.set_rule([&](const std::string& from, const net::Call& c) {
+    Fate f;
+    const bool user = from == "user";
+    if (user || random() % 100 >= severity) return f;
+    switch (random() % 3) {
+      case 0:
+        f.refuse = true;
+        break;
+      case 1:
+        f.lose_answer = true;
+        break;
+      default:
+        f.late = static_cast<Ms>(random() % 30000);
+    }
+    // A report's answer that comes late is dropped by its worker; the rest may be anything.
+    if (c.path == "/checkin" && f.late) f.late = std::min<Ms>(*f.late, 15000);
+    return f;
+  });
+  std::vector<std::string> accepted;
+  std::set<std::string> down, asked;
+  for (int step = 0; step < 60; ++step) {
+    severity = random() % 4 == 0 ? 30 : 5;
+    const std::string node = "n" + std::to_string(random() % 3);
+    const std::string id = "wk-" + std::to_string(1000 + step);
+    switch (random() % 8) {
+      case 0:
+      case 1:
+      case 2: {
+        const auto job = random() % 3 == 0 ? gang_job(id, 1 + random() % 3, 8)
+                                           : array_job(id, 1 + random() % 6, 8);
+        const int status = w.submit(node, job).status;
+        if (status == 201 || status == 200) accepted.push_back(id);
+        break;
+      }
+      case 3:
+        if (!accepted.empty()) {
+          const std::string& one = accepted[random() % accepted.size()];
+          asked.insert(one);
+          w.cancel(node, one);
+        }
+        break;
+      case 4:
+        if (down.count(node) == 0) {
+          w.kill(node);
+          down.insert(node);
+        }
+        break;
+      case 5:
+        w.state.down = true;
+        break;
+      case 6:
+        if (!w.cloud.machines.empty()) {
+          auto it = w.cloud.machines.begin();
+          std::advance(it, static_cast<long>(random() % w.cloud.machines.size()));
+          it->second->die();
+        }
+        break;
+      default:
+        if (!accepted.empty()) w.poll(node, accepted[random() % accepted.size()]);
+    }
+    w.time.run_for(static_cast<Ms>(random() % 9000));
+    if (w.state.down && random() % 2 == 0) w.state.come_back();
+    if (!down.empty() && random() % 2 == 0) {
+      w.start(*down.begin());
+      down.erase(down.begin());
+    }
+  }
+  severity = 0;
+  w.state.come_back();
+  for (const std::string& n : down) w.start(n);
+  for (const std::string& id : accepted) {
+    // A cancellation whose answer did not come is asked for again, as users do.
+    for (int i = 0; i < 100 && asked.count(id) != 0; ++i)
+      if (w.cancel("n" + std::to_string(i % 3), id).status == 200) break;
+    const bool cancelled = w.judge.jobs[id].cancelled;
+    EXPECT_TRUE(w.reaches(id, cancelled ? "withdrawn" : "done", 400000))
+        << id << "\n"
+        << w.state.dump("work/" + id) << w.state.dump("open/" + id);
+  }
+  w.expect_rules();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Troubles, ::testing::Range(1u, 13u));
+
+}  // namespace
+}  // namespace seampass::standins
--- /dev/null
+++ b/tests/model/plain_scheduler.h
@@ -0,0 +1,130 @@
+// The scheduler as plainly as it can be said: slow, first fit, everything recounted each time from
+// the list of who is where. The real one is compared with it.
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sched/picture.h"
+
+namespace seampass::model {
+
+struct Placed {
+  std::size_t job;
+  std::uint32_t task;
+  std::size_t machine;
+  bool held;
+  bool operator<(const Placed& o) const {
+    return std::tie(job, task, machine, held) < std::tie(o.job, o.task, o.machine, o.held);
+  }
+  bool operator==(const Placed& o) const = default;
+};
+
+class PlainScheduler {
+ public:
+  explicit PlainScheduler(const sched::Picture& p) : p_(p) {}
+
+  std::vector<Placed> run() {
+    std::vector<std::size_t> queue;
+    for (std::size_t j = 0; j < p_.jobs.size(); ++j) queue.push_back(j);
+    // A plain bubble sort by the three rules of the queue.
+    for (std::size_t a = 0; a < queue.size(); ++a)
+      for (std::size_t b = 0; b + 1 < queue.size(); ++b)
+        if (before(p_.jobs[queue[b + 1]], p_.jobs[queue[b]])) std::swap(queue[b], queue[b + 1]);
+    for (const std::size_t j : queue) {
+      const auto& job = p_.jobs[j];
+      if (job.blocked || job.pending.empty()) continue;
+      if (job.kind == wire::JobKind::gang)
+        gang(j);
+      else
+        for (const auto t : job.pending)
+          if (!add(j, t, "", false)) break;
+    }
+    std::sort(out_.begin(), out_.end());
+    return out_;
+  }
+
+ private:
+  static bool before(const sched::JobView& a, const sched::JobView& b) {
+    if (a.priority != b.priority) return a.priority < b.priority;
+    if (a.created_ms != b.created_ms) return a.created_ms < b.created_ms;
+    return a.id < b.id;
+  }
+
+  void gang(std::size_t j) {
+    const auto& job = p_.jobs[j];
+    std::vector<std::string> zones{""};
+    if (job.one_zone) {
+      zones.clear();
+      for (const auto& m : p_.machines)
+        if (m.open && std::find(zones.begin(), zones.end(), m.zone) == zones.end())
+          zones.push_back(m.zone);
+      std::sort(zones.begin(), zones.end());
+    }
+    const auto start = out_;
+    auto best = out_;
+    double best_cost = 0;
+    for (const auto& zone : zones) {
+      out_ = start;
+      double cost = 0;
+      for (const auto t : job.pending) {
+        if (!add(j, t, zone, true)) break;
+        const auto& m = p_.machines[out_.back().machine];
+        cost += m.price * (m.images.count(job.image) ? 1 : 2);
+      }
+      if (out_.size() > best.size() ||
+          (out_.size() == best.size() && out_.size() > start.size() && cost < best_cost)) {
+        best = out_;
+        best_cost = cost;
+      }
+    }
+    const bool whole = best.size() - start.size() == job.pending.size();
+    out_ = whole || !job.whole_only ? best : start;
+    if (whole)
+      for (auto& x : out_)
+        if (x.job == j) x.held = false;
+  }
+
+  bool add(std::size_t j, std::uint32_t task, const std::string& zone, bool held) {
+    const auto& job = p_.jobs[j];
+    for (std::size_t i = 0; i < p_.machines.size(); ++i) {
+      const auto& m = p_.machines[i];
+      if (!m.open || (!zone.empty() && m.zone != zone)) continue;
+      if (m.spot && !job.spot) continue;
+      if (job.avoid.count(i) != 0) continue;
+      if (job.zone && *job.zone != m.zone) continue;
+      if (job.types && *job.types &&
+          std::count((*job.types)->begin(), (*job.types)->end(), m.type) == 0)
+        continue;
+      sched::Need free = m.free;
+      sched::Need team{p_.teams.at(job.team).cpus, p_.teams.at(job.team).gpus, 0};
+      auto in_zone = job.placed;
+      for (const auto& x : out_) {
+        const auto& other = p_.jobs[x.job];
+        if (x.machine == i) free -= other.need;
+        if (other.team == job.team) team += other.need;
+        if (x.job == j) ++in_zone[p_.machines[x.machine].zone];
+      }
+      const auto& limit = p_.teams.at(job.team);
+      if (limit.cpus_max && job.need.cpus > 0 && team.cpus + job.need.cpus > *limit.cpus_max + 1e-6)
+        continue;
+      if (limit.gpus_max && job.need.gpus > 0 && team.gpus + job.need.gpus > *limit.gpus_max + 1e-6)
+        continue;
+      if (!job.need.fits_in(free)) continue;
+      bool elsewhere = false;
+      for (const auto& [z, n] : in_zone) elsewhere = elsewhere || (n > 0 && z != m.zone);
+      if (job.one_zone && elsewhere) continue;
+      if (job.spread && in_zone[m.zone] + 1 > (job.tasks + 1) / 2) continue;
+      out_.push_back({j, task, i, held});
+      return true;
+    }
+    return false;
+  }
+
+  const sched::Picture& p_;
+  std::vector<Placed> out_;
+};
+
+}  // namespace seampass::model
--- /dev/null
+++ b/tests/rpc_test.cc
@@ -0,0 +1,60 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "rpc/peer_link.h"
+
+namespace seampass::rpc {
+namespace {
+
+std::vector<Message> samples() {
+  Answer a;
+  a.number = 9;
+  a.verdict = Verdict::known;
+  a.status.stage = wire::Stage::running;
+  a.status.done = 3;
+  a.status.running = 1ull << 40;
+  return {Accepted{"wk-1", R"({"job":{}})", 77}, Ask{12, "wk-2", true}, a};
+}
+
+TEST(Rpc, MessagesComeBackAsTheyWent) {
+  const auto list = samples();
+  const auto back = [](const Message& m) {
+    const std::string s = encode(m);
+    return decode(s.data(), s.size());
+  };
+  const auto accepted = std::get<Accepted>(back(list[0]));
+  EXPECT_EQ(accepted.id, "wk-1");
+  EXPECT_EQ(accepted.record, R"({"job":{}})");
+  EXPECT_EQ(accepted.version, 77u);
+  const auto ask = std::get<Ask>(back(list[1]));
+  EXPECT_EQ(ask.number, 12u);
+  EXPECT_TRUE(ask.cancel);
+  const auto answer = std::get<Answer>(back(list[2]));
+  EXPECT_EQ(answer.verdict, Verdict::known);
+  EXPECT_EQ(answer.status.stage, wire::Stage::running);
+  EXPECT_EQ(answer.status.running, 1ull << 40);
+}
+
+TEST(Rpc, MutatedFramesAreRefusedOrRead) {
+  std::mt19937 random(77);
+  int refused = 0;
+  for (const Message& m : samples()) {
+    const std::string good = encode(m);
+    for (int i = 0; i < 2000; ++i) {
+      std::string s = good;
+      for (unsigned e = 0; e <= random() % 4; ++e)
+        s[random() % s.size()] = static_cast<char>(random());
+      if (random() % 5 == 0) s.resize(random() % (s.size() + 1));
+      try {
+        decode(s.data(), s.size());
+      } catch (const std::runtime_error&) {
+        ++refused;
+      }
+    }
+  }
+  EXPECT_GT(refused, 500);
+}
+
+}  // namespace
+}  // namespace seampass::rpc
--- /dev/null
+++ b/tests/sched_test.cc
@@ -0,0 +1,195 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "model/plain_scheduler.h"
+#include "sched/picture.h"
+
+namespace seampass::sched {
+namespace {
+
+const std::optional<std::vector<std::string>> kAny;
+const std::optional<std::vector<std::string>> kOnlyBig = std::vector<std::string>{"big"};
+
+Picture random_picture(std::mt19937& random, MachineChoice choice) {
+  const auto pick = [&](unsigned n) { return static_cast<unsigned>(random() % n); };
+  Picture p;
+  p.choice = choice;
+  for (const char* t : {"red", "blue"}) {
+    TeamView& v = p.teams[t];
+    if (pick(2)) v.gpus_max = 2.0 + pick(12);
+    if (pick(3) == 0) v.cpus_max = 8.0 + pick(40);
+    v.gpus = pick(2);
+  }
+  const unsigned machines = 1 + pick(9);
+  for (unsigned i = 0; i < machines; ++i) {
+    MachineView m;
+    m.name = "m" + std::to_string(i);
+    m.type = pick(2) ? "big" : "small";
+    m.zone = std::string(1, static_cast<char>('a' + pick(3)));
+    m.spot = pick(3) == 0;
+    m.open = pick(6) != 0;
+    m.total = {m.type == "big" ? 16.0 : 4.0, m.type == "big" ? 4.0 : 0.0, 64};
+    m.free = m.total;
+    m.free.cpus -= pick(4);
+    m.price = 1 + pick(5);
+    if (pick(2)) m.images.insert("i" + std::to_string(pick(2)));
+    p.machines.push_back(m);
+  }
+  const unsigned jobs = 1 + pick(10);
+  for (unsigned i = 0; i < jobs; ++i) {
+    JobView j;
+    j.id = "wk-" + std::to_string(100 + i);
+    j.team = pick(2) ? "red" : "blue";
+    j.kind = pick(2) ? wire::JobKind::gang : wire::JobKind::array;
+    j.priority = static_cast<wire::Priority>(pick(4));
+    j.created_ms = pick(4);
+    j.need = {1.0 + pick(5), pick(2) * 1.0, 8.0 * pick(4)};
+    j.types = pick(3) == 0 ? &kOnlyBig : &kAny;
+    if (pick(5) == 0) j.zone = "b";
+    j.one_zone = pick(2);
+    j.spread = !j.one_zone && pick(3) == 0;
+    j.spot = pick(2);
+    j.image = "i" + std::to_string(pick(2));
+    j.tasks = 1 + pick(6);
+    for (std::uint32_t t = 0; t < j.tasks; ++t) j.pending.push_back(t);
+    if (j.kind == wire::JobKind::array && pick(2) && j.tasks > 1) {
+      j.pending.erase(j.pending.begin());
+      j.placed[std::string(1, static_cast<char>('a' + pick(3)))] = 1;
+    }
+    if (pick(5) == 0) j.avoid.insert(pick(machines));
+    j.blocked = pick(8) == 0;
+    j.whole_only = pick(4) == 0;
+    p.jobs.push_back(j);
+  }
+  return p;
+}
+
+TEST(Sched, AgreesWithThePlainModel) {
+  std::mt19937 random(4711);
+  int placed = 0, held = 0;
+  for (int round = 0; round < 3000; ++round) {
+    Picture p = random_picture(random, MachineChoice::first_fit);
+    const Picture before = p;
+    const Decisions d = pass(p);
+    std::vector<model::Placed> real;
+    for (const Batch& b : d.starts)
+      for (const Placement& x : b.tasks) real.push_back({b.job, x.task, x.machine, false});
+    for (const Batch& b : d.holds)
+      for (const Placement& x : b.tasks) real.push_back({b.job, x.task, x.machine, true});
+    std::sort(real.begin(), real.end());
+    ASSERT_EQ(real, model::PlainScheduler(before).run()) << "round " << round;
+    for (const auto& x : real) (x.held ? held : placed) += 1;
+  }
+  EXPECT_GT(placed, 5000);
+  EXPECT_GT(held, 300);
+}
+
+// Scored choice puts tasks elsewhere, but under the same limits.
+TEST(Sched, ScoredChoiceKeepsEveryLimit) {
+  std::mt19937 random(99);
+  for (int round = 0; round < 3000; ++round) {
+    Picture p = random_picture(random, MachineChoice::scored);
+    const Picture before = p;
+    const Decisions d = pass(p);
+    std::vector<Need> free;
+    for (const auto& m : before.machines) free.push_back(m.free);
+    auto teams = before.teams;
+    const auto count = [&](const Batch& b, bool start) {
+      const JobView& job = before.jobs[b.job];
+      auto zones = job.placed;
+      ASSERT_FALSE(job.blocked);
+      for (const Placement& x : b.tasks) {
+        const MachineView& m = before.machines[x.machine];
+        ASSERT_EQ(job.avoid.count(x.machine), 0u);
+        ASSERT_TRUE(m.open && allowed(job, m.type, m.zone, m.spot));
+        ASSERT_TRUE(job.need.fits_in(free[x.machine]));
+        free[x.machine] -= job.need;
+        TeamView& t = teams[job.team];
+        ASSERT_GE(t.allows(job.need), 1u);
+        t.cpus += job.need.cpus;
+        t.gpus += job.need.gpus;
+        ++zones[m.zone];
+      }
+      std::uint32_t used = 0;
+      for (const auto& [z, n] : zones) {
+        used += n > 0 ? 1 : 0;
+        ASSERT_TRUE(!job.spread || n <= (job.tasks + 1) / 2);
+      }
+      ASSERT_TRUE(!job.one_zone || used <= 1);
+      if (job.kind == wire::JobKind::gang) {
+        // A gang starts whole or holds; one that timed out holds nothing.
+        ASSERT_EQ(b.tasks.size() == job.pending.size(), start);
+        ASSERT_TRUE(start || !job.whole_only);
+      }
+    };
+    for (const Batch& b : d.starts) count(b, true);
+    for (const Batch& b : d.holds) count(b, false);
+  }
+}
+
+TEST(Sched, QueueIsPriorityThenCreationThenId) {
+  std::vector<JobView> jobs(4);
+  jobs[0].id = "wk-2";
+  jobs[1].id = "wk-1";
+  jobs[2].id = "wk-3";
+  jobs[2].priority = wire::Priority::critical;
+  jobs[2].created_ms = 50;
+  jobs[3].id = "wk-0";
+  jobs[3].created_ms = 7;
+  EXPECT_EQ(queue_order(jobs), (std::vector<std::size_t>{2, 1, 0, 3}));
+}
+
+JobView waiting(const std::string& id, wire::JobKind kind, std::uint32_t tasks, Need need) {
+  JobView j;
+  j.id = id;
+  j.team = "red";
+  j.kind = kind;
+  j.need = need;
+  j.types = &kAny;
+  j.tasks = tasks;
+  j.spot = true;
+  for (std::uint32_t t = 0; t < tasks; ++t) j.pending.push_back(t);
+  return j;
+}
+
+TEST(Sched, RentsTheCheapestThatFitsAndCountsWhatIsBooting) {
+  const std::vector<RentalOption> options = {{"big", "a", false, 4, {16, 4, 64}},
+                                             {"big", "b", true, 1.5, {16, 4, 64}},
+                                             {"small", "a", false, 1, {4, 0, 16}}};
+  Picture p;
+  p.jobs.push_back(waiting("wk-1", wire::JobKind::array, 6, {4, 1, 8}));
+  auto wishes = plan_rentals(p, options);
+  ASSERT_EQ(wishes.size(), 1u);
+  EXPECT_EQ(wishes[0].option, 1u);
+  EXPECT_EQ(wishes[0].count, 2);
+  MachineView m;
+  m.type = "big";
+  m.zone = "a";
+  m.booting = true;
+  m.total = m.free = {16, 4, 64};
+  p.machines.push_back(m);
+  wishes = plan_rentals(p, options);
+  ASSERT_EQ(wishes.size(), 1u);
+  EXPECT_EQ(wishes[0].count, 1);
+  p.jobs[0].spot = false;
+  EXPECT_EQ(plan_rentals(p, options)[0].option, 0u);
+  p.teams["red"].gpus_max = 4;  // no more than the limit lets run
+  EXPECT_TRUE(plan_rentals(p, options).empty());
+}
+
+TEST(Sched, RentsAGangsMachinesInOneZone) {
+  const std::vector<RentalOption> options = {{"small", "a", false, 1, {4, 0, 16}},
+                                             {"small", "b", true, 0.5, {4, 0, 16}}};
+  Picture p;
+  p.jobs.push_back(waiting("wk-1", wire::JobKind::gang, 3, {4, 0, 8}));
+  p.jobs[0].one_zone = true;
+  p.jobs[0].spot = false;
+  const auto wishes = plan_rentals(p, options);
+  ASSERT_EQ(wishes.size(), 1u);
+  EXPECT_EQ(wishes[0].option, 0u);
+  EXPECT_EQ(wishes[0].count, 3);
+}
+
+}  // namespace
+}  // namespace seampass::sched
--- /dev/null
+++ b/tests/standins/workers.h
@@ -0,0 +1,365 @@
+// Our own stand-ins for the cloud and its workers, with a judge that watches the rules.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "standins/sim.h"
+#include "wire/codec.h"
+
+namespace seampass::standins {
+
+struct TaskKey {
+  std::string job;
+  std::uint32_t index = 0;
+  auto operator<=>(const TaskKey&) const = default;
+};
+
+struct JobFacts {
+  wire::Job spec;
+  bool cancelled = false;
+  Ms cancelled_at = 0;
+};
+
+// What every worker shares: what jobs there are, and who runs what.
+struct Judge {
+  Ms cancel_ms = 0;
+  std::map<std::string, JobFacts> jobs;
+  std::map<TaskKey, std::string> on;  // task -> machine that has it
+  std::map<TaskKey, int> starts;
+  std::set<TaskKey> done;
+  std::vector<std::string> broken;
+
+  void started(const TaskKey& t, const std::string& machine, Ms now) {
+    ++starts[t];
+    const auto it = on.find(t);
+    if (it != on.end() && it->second != machine)
+      broken.push_back("ran_twice " + t.job + "/" + std::to_string(t.index));
+    on[t] = machine;
+    check_cancelled(t, now);
+  }
+  void stopped(const TaskKey& t, const std::string& machine, Ms now) {
+    check_cancelled(t, now);
+    const auto it = on.find(t);
+    if (it != on.end() && it->second == machine) on.erase(it);
+  }
+  void check_cancelled(const TaskKey& t, Ms now) {
+    const JobFacts& j = jobs[t.job];
+    if (j.cancelled && now > j.cancelled_at + cancel_ms) broken.push_back("ran_cancelled " + t.job);
+  }
+};
+
+struct Timing {
+  Ms report = 0, lease = 0, fetch = 300;
+};
+
+class Worker {
+ public:
+  Worker(SimNet& net, Judge& judge, Timing timing, std::string name, std::string type,
+         std::string zone, bool spot, std::vector<std::string> nodes)
+      : net_(net),
+        judge_(judge),
+        timing_(timing),
+        name_(std::move(name)),
+        type_(std::move(type)),
+        zone_(std::move(zone)),
+        spot_(spot),
+        nodes_(std::move(nodes)),
+        alive_(std::make_shared<bool>(true)) {
+    net_.serve(addr(), [this](const net::Request& r, net::Answer a) { handle(r, a); });
+    answered_sent_ = now();
+    report();
+    watch_lease();
+  }
+  ~Worker() { die(); }
+  Worker(const Worker&) = delete;
+
+  std::string addr() const { return name_ + ":9000"; }
+  void die() {
+    if (!*alive_) return;
+    *alive_ = false;
+    net_.silence(addr());
+    for (auto& [k, t] : tasks_)
+      if (t.on) judge_.stopped(k, name_, now());
+    tasks_.clear();
+  }
+  void fail_next(wire::ExitCause cause) { forced_ = cause; }
+  std::optional<double> notice;
+
+ private:
+  struct Task {
+    std::uint64_t attempt = 0;
+    wire::TaskState state = wire::TaskState::fetching;
+    wire::ExitCause cause = wire::ExitCause::none;
+    bool on = false;
+    std::uint64_t run = 0;
+  };
+
+  Ms now() const { return net_.time().now(); }
+  void after(Ms d, std::function<void()> f) {
+    net_.time().after(d, [alive = alive_, f = std::move(f)] {
+      if (*alive) f();
+    });
+  }
+
+  std::string report_body() {
+    static constexpr const char* states[] = {"pulling", "gathering", "running", "saving", "ended"};
+    static constexpr const char* causes[] = {"",      "done", "halted", "peers",  "alone",
+                                             "error", "full", "busy",   "no_such"};
+    wire::Json list = wire::Json::array();
+    for (const auto& [k, t] : tasks_) {
+      wire::Json o{{"pour", k.job + "/" + std::to_string(k.index)},
+                   {"try", t.attempt},
+                   {"stage", states[static_cast<int>(t.state)]}};
+      if (t.state == wire::TaskState::exited) o["exit_cause"] = causes[static_cast<int>(t.cause)];
+      list.push_back(o);
+    }
+    return wire::Json{{"host", name_},
+                      {"addr", addr()},
+                      {"barrel", type_},
+                      {"cellar", zone_},
+                      {"lent_racks", spot_},
+                      {"shift", session_},
+                      {"tally", ++seq_},
+                      {"warrant", token_},
+                      {"recall_s", notice ? wire::Json(*notice) : wire::Json()},
+                      {"pours", list}}
+        .dump();
+  }
+
+  void report() {
+    const Ms sent = now();
+    const std::uint64_t session = session_;
+    net_.call(name_, alive_, {nodes_[node_] + ":8080", "POST", "/checkin", report_body(), 4000},
+              [this, sent, session](const net::Reply& r) {
+                Ms pause = 1000;
+                if (r.is(200)) {
+                  take(wire::Json::parse(r.body), sent, session);
+                  pause = timing_.report;
+                } else if (r.is(421)) {
+                  const std::string to = wire::Json::parse(r.body).value("steward", "");
+                  const auto it = std::find(nodes_.begin(), nodes_.end(), to);
+                  if (it != nodes_.end() && *it != nodes_[node_]) {
+                    node_ = static_cast<std::size_t>(it - nodes_.begin());
+                    pause = 50;
+                  } else {
+                    node_ = (node_ + 1) % nodes_.size();
+                  }
+                } else {
+                  node_ = (node_ + 1) % nodes_.size();
+                }
+                after(pause, [this] { report(); });
+              });
+  }
+
+  void take(const wire::Json& o, Ms sent, std::uint64_t session) {
+    const std::uint64_t token = o.value("warrant", std::uint64_t{0});
+    if (token < token_ || token == 0 || session != session_) return;
+    token_ = token;
+    answered_sent_ = std::max(answered_sent_, sent);
+    obey(o.at("orders"));
+  }
+
+  void handle(const net::Request& r, const net::Answer& answer) {
+    if (r.path == "/inspect") return answer({200, report_body(), 0});
+    const auto o = wire::Json::parse(r.body);
+    if (o.at("warrant").get<std::uint64_t>() < token_ || o.at("shift") != session_)
+      return answer({409, report_body(), 0});
+    token_ = o.at("warrant");
+    obey(o.at("orders"));
+    answer({200, report_body(), 0});
+  }
+
+  void obey(const wire::Json& orders) {
+    for (const auto& c : orders) {
+      const std::string pour = c.at("pour");
+      const auto slash = pour.find('/');
+      const TaskKey key{pour.substr(0, slash),
+                        static_cast<std::uint32_t>(std::stoul(pour.substr(slash + 1)))};
+      const std::uint64_t attempt = c.at("try");
+      const auto it = tasks_.find(key);
+      if (c.at("verb") == "run") {
+        if (it != tasks_.end()) continue;
+        start(key, attempt);
+      } else if (it == tasks_.end() || it->second.attempt != attempt) {
+        continue;
+      } else if (c.at("verb") == "halt") {
+        if (it->second.state != wire::TaskState::exited) exit(key, wire::ExitCause::stopped);
+      } else if (it->second.state == wire::TaskState::exited) {
+        tasks_.erase(it);
+      }
+    }
+  }
+
+  void start(const TaskKey& key, std::uint64_t attempt) {
+    Task& t = tasks_[key];
+    t.attempt = attempt;
+    t.run = ++runs_;
+    const std::uint64_t run = t.run;
+    after(timing_.fetch, [this, key, run] {
+      Task* task = find(key, run);
+      if (!task) return;
+      task->on = true;
+      judge_.started(key, name_, now());
+      if (judge_.done.count(key) != 0) return exit(key, wire::ExitCause::done);
+      if (forced_) {
+        const auto cause = *forced_;
+        forced_.reset();
+        return exit(key, cause);
+      }
+      const wire::Job& spec = judge_.jobs[key.job].spec;
+      if (spec.kind == wire::JobKind::gang) {
+        task->state = wire::TaskState::waiting;
+        gang_ready(key, run);
+      } else {
+        task->state = wire::TaskState::running;
+        if (spec.kind == wire::JobKind::array) complete_after(key, run, spec);
+      }
+    });
+  }
+  void gang_ready(const TaskKey& key, std::uint64_t run) {
+    Task* task = find(key, run);
+    if (!task) return;
+    const wire::Job& spec = judge_.jobs[key.job].spec;
+    std::uint32_t here = 0;
+    for (std::uint32_t i = 0; i < spec.tasks; ++i) here += judge_.on.count({key.job, i}) != 0;
+    if (here < spec.tasks) {
+      after(100, [this, key, run] { gang_ready(key, run); });
+      return;
+    }
+    task->state = wire::TaskState::running;
+    complete_after(key, run, spec);
+  }
+  void complete_after(const TaskKey& key, std::uint64_t run, const wire::Job& spec) {
+    after(net::ms(spec.estimate_s), [this, key, run] {
+      if (!find(key, run)) return;
+      const wire::Job& spec = judge_.jobs[key.job].spec;
+      if (spec.kind == wire::JobKind::gang && judge_.done.count(key) == 0) {
+        // A gang completes together, or not at all.
+        for (std::uint32_t i = 0; i < spec.tasks; ++i)
+          if (judge_.on.count({key.job, i}) == 0) return exit(key, wire::ExitCause::peers);
+        for (std::uint32_t i = 0; i < spec.tasks; ++i) judge_.done.insert({key.job, i});
+      }
+      judge_.done.insert(key);
+      exit(key, wire::ExitCause::done);
+    });
+  }
+  Task* find(const TaskKey& key, std::uint64_t run) {
+    const auto it = tasks_.find(key);
+    const bool same =
+        it != tasks_.end() && it->second.run == run && it->second.state != wire::TaskState::exited;
+    return same ? &it->second : nullptr;
+  }
+  void exit(const TaskKey& key, wire::ExitCause cause) {
+    Task& t = tasks_[key];
+    if (t.on) judge_.stopped(key, name_, now());
+    t.on = false;
+    t.state = wire::TaskState::exited;
+    t.cause = cause;
+  }
+
+  void watch_lease() {
+    after(200, [this] {
+      if (now() - answered_sent_ > timing_.lease) {
+        for (auto& [k, t] : tasks_)
+          if (t.on) judge_.stopped(k, name_, now());
+        tasks_.clear();
+        ++session_;
+        answered_sent_ = now();
+      }
+      watch_lease();
+    });
+  }
+
+  SimNet& net_;
+  Judge& judge_;
+  Timing timing_;
+  std::string name_, type_, zone_;
+  bool spot_;
+  std::vector<std::string> nodes_;
+  std::shared_ptr<bool> alive_;
+  std::size_t node_ = 0;
+  std::uint64_t session_ = 1, seq_ = 0, token_ = 0, runs_ = 0;
+  Ms answered_sent_ = 0;
+  std::map<TaskKey, Task> tasks_;
+  std::optional<wire::ExitCause> forced_;
+};
+
+class CloudService {
+ public:
+  CloudService(SimNet& net, Judge& judge, Timing timing, std::vector<std::string> nodes)
+      : net_(net), judge_(judge), timing_(timing), nodes_(std::move(nodes)) {}
+
+  bool down = false;
+  int capacity = 20;
+  std::map<std::string, std::unique_ptr<Worker>> machines;
+
+  std::string boot(const std::string& type, const std::string& zone, bool spot, Ms delay) {
+    char name[32];
+    std::snprintf(name, sizeof name, "m-%06d", ++last_);
+    listed_[name] = {type, zone, spot, net_.time().now()};
+    net_.time().after(delay, [this, n = std::string(name), type, zone, spot] {
+      if (listed_.count(n) == 0) return;
+      machines[n] = std::make_unique<Worker>(net_, judge_, timing_, n, type, zone, spot, nodes_);
+    });
+    return name;
+  }
+
+  void handle(const net::Request& r, const net::Answer& answer) {
+    if (down) return answer({503, R"({"error":"trouble"})", 0});
+    if (r.path == "/catalog")
+      return answer(
+          {200,
+           R"({"barrels":[{"name":"big","cpus":8,"accelerators":2,"memory_gb":64,"cache_gb":50,
+             "fetch_gb_per_s":1,"price":4,"low_price":1.5,"ready_s":5,"cellars":["a","b"]}]})",
+           0});
+    if (r.path == "/rentals" && r.method == "POST") {
+      const auto o = wire::Json::parse(r.body);
+      const std::string ask = o.at("hire_ask");
+      if (asked_.count(ask) == 0) {
+        int n =
+            std::min<int>(o.at("count").get<int>(), capacity - static_cast<int>(listed_.size()));
+        if (n <= 0) return answer({503, R"({"error":"no capacity"})", 0});
+        while (n-- > 0)
+          asked_[ask].push_back(boot(o.at("barrel"), o.at("cellar"), o.at("lent_racks"), 3000));
+      }
+      return answer({200, wire::Json{{"hosts", asked_[ask]}}.dump(), 0});
+    }
+    if (r.path == "/rentals/delete") {
+      const auto names = wire::Json::parse(r.body).at("hosts").get<std::vector<std::string>>();
+      for (const std::string& n : names) {
+        machines.erase(n);
+        listed_.erase(n);
+      }
+      return answer({200, "{}", 0});
+    }
+    wire::Json hosts = wire::Json::array();
+    for (const auto& [n, l] : listed_)
+      hosts.push_back({{"ref", n},
+                       {"addr", n + ":9000"},
+                       {"barrel", l.type},
+                       {"cellar", l.zone},
+                       {"lent_racks", l.spot},
+                       {"stage", machines.count(n) != 0 ? "running" : "starting"},
+                       {"age_s", static_cast<double>(net_.time().now() - l.since) / 1000}});
+    answer({200, wire::Json{{"hosts", hosts}, {"has_next", false}}.dump(), 0});
+  }
+
+ private:
+  struct Listed {
+    std::string type, zone;
+    bool spot = false;
+    Ms since = 0;
+  };
+  SimNet& net_;
+  Judge& judge_;
+  Timing timing_;
+  std::vector<std::string> nodes_;
+  int last_ = 0;
+  std::map<std::string, Listed> listed_;
+  std::map<std::string, std::vector<std::string>> asked_;
+};
+
+}  // namespace seampass::standins
--- /dev/null
+++ b/tests/standins/world.h
@@ -0,0 +1,208 @@
+// A whole deployment in simulated time: three controllers, state service, cloud, workers, a user.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <spdlog/spdlog.h>
+
+#include <cstdlib>
+
+#include "app/node.h"
+#include "standins/sim.h"
+#include "standins/state_service.h"
+#include "standins/workers.h"
+
+namespace seampass::standins {
+
+inline config::Settings settings_for(const std::string& node) {
+  config::Settings s;
+  s.node = node;
+  s.zone = "a";
+  s.cloud = "cloud:1";
+  s.state = "state:1";
+  s.zones = {"a", "b"};
+  s.teams = {{"red", 0, 0, 4, 8}, {"blue", 0, 0, 4, 16}};
+  s.report_s = 3;
+  s.lease_s = 20;
+  s.gang_wait_s = 30;
+  s.gang_peer_s = 4;
+  s.cancel_s = 40;
+  s.state_rps = 100;
+  s.state_write_rps = 40;
+  s.value_kb = 8;
+  s.txn_ops = 10;
+  s.cloud_rps = 4;
+  s.list_lag_s = 2;
+  s.core_share = 0.1;
+  s.memory_mb = 64;
+  s.fd_limit = 500;
+  for (const char* n : {"n0", "n1", "n2"})
+    if (node != n) s.peers.push_back({n, "a", std::string(n) + ":8081"});
+  return s;
+}
+
+class World {
+ public:
+  // LOG_LEVEL=debug in the environment shows what the controllers log.
+  explicit World(unsigned seed = 1, int machines = 4)
+      : net(time, seed), state(time), cloud(net, judge, {3000, 20000, 300}, {"n0", "n1", "n2"}) {
+    const char* level = std::getenv("LOG_LEVEL");
+    spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
+    judge.cancel_ms = 40000;
+    net.serve("state:1", [this](const net::Request& r, net::Answer a) { state.handle(r, a); });
+    net.serve("cloud:1", [this](const net::Request& r, net::Answer a) { cloud.handle(r, a); });
+    for (const char* n : {"n0", "n1", "n2"}) start(n);
+    for (int i = 0; i < machines; ++i) cloud.boot("big", i % 2 == 0 ? "a" : "b", false, 10);
+  }
+
+  void start(const std::string& name) {
+    auto& slot = nodes_[name];
+    slot.reset();
+    slot = std::make_unique<SimNode>(*this, name);
+    net.serve(name + ":8080", [this, name](const net::Request& r, net::Answer a) {
+      const auto it = nodes_.find(name);
+      if (it != nodes_.end() && it->second) it->second->node.handle(r, std::move(a));
+    });
+    slot->node.start();
+  }
+  void kill(const std::string& name) {
+    net.silence(name + ":8080");
+    nodes_[name].reset();
+  }
+  std::string leader() const {
+    for (const auto& [name, n] : nodes_)
+      if (n && n->node.election().holds()) return name;
+    return "";
+  }
+  int leaders() const {
+    int k = 0;
+    for (const auto& [name, n] : nodes_) k += n && n->node.election().holds() ? 1 : 0;
+    return k;
+  }
+  std::string follower() const {
+    for (const auto& [name, n] : nodes_)
+      if (n && !n->node.election().leading()) return name;
+    return "";
+  }
+
+  struct Told {
+    int status = 0;
+    wire::Json body;
+    std::string stage() const { return body.is_object() ? body.value("stage", "") : ""; }
+  };
+  // Asks a node and plays on until it has answered, five seconds at most.
+  Told ask(const std::string& node, const char* method, const std::string& path,
+           const std::string& body = "") {
+    Told told;
+    bool answered = false;
+    const auto alive = std::make_shared<bool>(true);
+    net.call("user", alive, {node + ":8080", method, path, body, 5000}, [&](const net::Reply& r) {
+      answered = true;
+      told.status = r.status;
+      told.body = wire::Json::parse(r.body, nullptr, false);
+    });
+    for (int i = 0; i < 5100 && !answered; ++i) time.run_for(1);
+    *alive = false;
+    if (told.status == 200 && method[0] == 'G') check_order(path, told);
+    return told;
+  }
+  Told submit(const std::string& node, const wire::Job& job) {
+    judge.jobs[job.id].spec = job;
+    return ask(node, "POST", "/api/jobs", wire::to_json(job).dump());
+  }
+  Told cancel(const std::string& node, const std::string& id) {
+    const Told t = ask(node, "POST", "/api/jobs/" + id + "/abort");
+    if (t.status == 200 && t.stage() == "withdrawn" && !judge.jobs[id].cancelled) {
+      judge.jobs[id].cancelled = true;
+      judge.jobs[id].cancelled_at = time.now();
+    }
+    return t;
+  }
+  Told poll(const std::string& node, const std::string& id) {
+    return ask(node, "GET", "/api/jobs/" + id);
+  }
+  // True once a poll says `stage`.
+  bool reaches(const std::string& id, const std::string& stage, Ms within) {
+    const Ms end = time.now() + within;
+    while (time.now() < end) {
+      for (const char* n : {"n0", "n1", "n2"})
+        if (nodes_[n] && poll(n, id).stage() == stage) return true;
+      time.run_for(500);
+    }
+    return false;
+  }
+  bool settle() {
+    for (int i = 0; i < 300 && (leader().empty() || ask(leader(), "GET", "/up").status != 200); ++i)
+      time.run_for(100);
+    return !leader().empty();
+  }
+  void expect_rules() const {
+    EXPECT_TRUE(judge.broken.empty()) << judge.broken.front();
+    EXPECT_TRUE(went_back.empty()) << went_back;
+  }
+
+  SimTime time;
+  SimNet net;
+  Judge judge;
+  StateService state;
+  CloudService cloud;
+  std::string went_back;
+
+ private:
+  struct SimNode {
+    SimNode(World& w, const std::string& name)
+        : process(w.time),
+          http(w.net, name, process.alive()),
+          peers(w.net, w.registry_, name),
+          settings(settings_for(name)),
+          node(process, http, peers, settings, op) {}
+    Process process;
+    SimCaller http;
+    SimPeers peers;
+    config::Settings settings;
+    config::Operator op;
+    app::Node node;
+  };
+
+  void check_order(const std::string& path, const Told& told) {
+    std::string& last = last_[path];
+    const std::string stage = told.stage();
+    if ((last == "done" || last == "withdrawn") && stage != last)
+      went_back = path + ": " + last + " then " + stage;
+    if (stage == "done" || stage == "withdrawn") last = stage;
+    if (stage == "done") {
+      const std::string id = path.substr(path.rfind('/') + 1);
+      for (std::uint32_t i = 0; i < judge.jobs[id].spec.tasks; ++i)
+        if (judge.done.count({id, i}) == 0) judge.broken.push_back("not_done " + id);
+    }
+  }
+
+  SimPeers::Registry registry_;
+  std::map<std::string, std::unique_ptr<SimNode>> nodes_;
+  std::map<std::string, std::string> last_;
+};
+
+inline wire::Job array_job(const std::string& id, std::uint32_t tasks, double run_s = 5) {
+  wire::Job j;
+  j.id = id;
+  j.klass = "k";
+  j.team = "blue";
+  j.tasks = tasks;
+  j.cpus = 4;
+  j.gpus = 1;
+  j.memory_gb = 16;
+  j.image = "i";
+  j.image_gb = 1;
+  j.spot = true;
+  j.estimate_s = run_s;
+  return j;
+}
+
+inline wire::Job gang_job(const std::string& id, std::uint32_t tasks, double run_s = 5) {
+  wire::Job j = array_job(id, tasks, run_s);
+  j.kind = wire::JobKind::gang;
+  j.cpus = 8;
+  j.one_zone = true;
+  return j;
+}
+
+}  // namespace seampass::standins
