Spares for classes with a start aim, paid from a share of the fleet's price

Ruled out: durable writes and commands (milliseconds). Change: keep as many tasks' room free as are likely to come during a boot (mean plus one deviation), within 8% of what the fleet costs; urgent classes count a cached image before the price, others the price first.

--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -165,8 +165,8 @@
       o.hold_timeout_s = number(1);
     } else if (key == "idle_return") {
       o.idle_return = number(0);
-    } else if (key == "spare") {
-      o.spare = number(0);
+    } else if (key == "spare_share") {
+      o.spare_share = number(0);
     } else if (key == "machine_choice") {
       o.machine_choice = entry.second.IsScalar() ? entry.second.as<std::string>() : "";
       if (o.machine_choice != "scored" && o.machine_choice != "first-fit")
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -50,7 +50,9 @@
 struct Operator {
   double hold_timeout_s = 20;  // how long a gang may hold room short of its minimum (design: 20)
   double idle_return = 1.0;    // an idle machine is returned after this many of its boot times
-  double spare = 0;            // machines kept free per class with a short start aim
+  // What machines kept free for classes with a start aim may cost, as a share of all that is
+  // rented.
+  double spare_share = 0.08;
   std::string machine_choice = "scored";  // or "first-fit"
 };
 
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace seampass::leader {
 
@@ -21,6 +22,9 @@
 // Pending tasks of one job that a pass looks at.
 constexpr std::size_t kPassTasks = 256;
 constexpr Ms kPassDelay = 5;
+// Arrivals are counted over this many boot times.
+constexpr double kArrivalWindow = 6;
+constexpr std::size_t kMaxArrivals = 500;
 
 sched::Need need_of(const wire::Job& j) { return {j.cpus, j.gpus, j.memory_gb}; }
 
@@ -58,7 +62,13 @@
                [this](const std::string& id, wire::Stage stage) { verdict(id, stage); }}),
       fleet_(runtime, cloud, types, settings, op, [this](Machine& m) { machine_gone(m); }),
       chunk_tasks_(std::max<std::uint32_t>(
-          16, static_cast<std::uint32_t>(settings.value_kb * 1024) / kTaskBytes)) {}
+          16, static_cast<std::uint32_t>(settings.value_kb * 1024) / kTaskBytes)) {
+  for (const config::Objective& o : settings.objectives) {
+    if (o.kind != "wait" || o.klass.empty()) continue;
+    Arrivals& a = arrivals_[o.klass];
+    a.within_s = a.within_s > 0 ? std::min(a.within_s, o.within_s) : o.within_s;
+  }
+}
 
 void Controller::begin() {
   stop();
@@ -79,6 +89,8 @@
     for (const auto& w : job->waiters) w({});
   jobs_.clear();
   team_use_.clear();
+  kept_.clear();
+  for (auto& [klass, a] : arrivals_) a.recent.clear();
   ledger_.stop();
   fleet_.stop();
 }
@@ -223,6 +235,13 @@
   job->open_version = version;
   job->taken.assign(job->spec.tasks, false);
   job->finished.assign(job->spec.tasks, false);
+  const auto aim = arrivals_.find(job->spec.klass);
+  if (aim != arrivals_.end()) {
+    // Jobs recovered together came at their own times.
+    const Ms age = std::max<Ms>(0, runtime_.wall() - job->created_ms);
+    aim->second.latest = job->spec;
+    aim->second.recent.emplace_back(runtime_.now() - age, job->spec.tasks);
+  }
   jobs_.emplace(id, std::move(job));
   kick();
 }
@@ -779,6 +798,7 @@
     v.spread = job->spec.spread;
     v.spot = job->spec.spot;
     v.image = job->spec.image;
+    v.urgent = arrivals_.count(job->spec.klass) != 0;
     v.tasks = job->spec.tasks;
     for (const auto& [task, c] : job->charges) ++v.placed[c.machine->zone];
     v.blocked = now < job->retry_at;
@@ -822,13 +842,54 @@
   for (const sched::Batch& b : d.starts) start(*jobs[b.job], b.tasks, p);
   // Renting is paced: what is asked of the cloud takes far longer than the pause.
   if (now - last_rental_ < net::ms(settings_.report_s / 3)) return;
-  bool pending = false;
-  for (const sched::JobView& j : p.jobs) pending = pending || !j.pending.empty();
-  if (!pending) return;
   last_rental_ = now;
+  plan(std::move(p));
+}
+
+// For each class with a start aim: as many tasks as are likely to come while a machine boots.
+std::vector<sched::Spare> Controller::spares(const sched::Picture& p) const {
+  std::vector<sched::Spare> list;
+  double spent = 0;
+  for (const sched::MachineView& m : p.machines) spent += m.price;
+  const Ms now = runtime_.now();
+  for (const auto& [klass, a] : arrivals_) {
+    if (a.recent.empty()) continue;
+    const wire::Job& spec = a.latest;
+    double boot = 0;
+    for (const auto& [name, t] : types_.types())
+      if (need_of(spec).fits_in({t.cpus, t.gpus, t.memory_gb})) boot = std::max(boot, t.boot_s);
+    // A class whose aim leaves time to boot needs no spare.
+    if (boot <= 0 || a.within_s > 2 * boot) continue;
+    const Ms window = std::min(now - a.recent.front().first, net::ms(kArrivalWindow * boot));
+    double tasks = 0;
+    for (const auto& [when, n] : a.recent)
+      if (now - when <= window) tasks += n;
+    const double expected = tasks * boot / std::max(static_cast<double>(window) / 1000, boot);
+    const auto count = static_cast<std::uint32_t>(std::ceil(expected + std::sqrt(expected)));
+    sched::Spare s;
+    s.budget = operator_.spare_share * spent;
+    s.job.kind = wire::JobKind::array;
+    s.job.priority = wire::Priority::low;
+    s.job.need = need_of(spec);
+    s.job.types = &spec.types;
+    s.job.zone = spec.zone;
+    s.job.spot = spec.spot;
+    s.job.tasks = count;
+    for (std::uint32_t t = 0; t < count; ++t) s.job.pending.push_back(t);
+    list.push_back(std::move(s));
+  }
+  return list;
+}
+
+void Controller::plan(sched::Picture p) {
+  const auto wanted = spares(p);
+  std::vector<std::string> names;
+  for (const sched::MachineView& m : p.machines) names.push_back(m.name);
   const auto options = fleet_.options();
-  for (const sched::RentalWish& w : sched::plan_rentals(std::move(p), options))
-    fleet_.rent(options[w.option], w.count);
+  const sched::MachinePlan plan = sched::plan_machines(std::move(p), options, wanted);
+  kept_.clear();
+  for (const std::size_t i : plan.keep) kept_.insert(names[i]);
+  for (const sched::RentalWish& w : plan.rentals) fleet_.rent(options[w.option], w.count);
 }
 
 void Controller::start(JobRecord& job, const std::vector<sched::Placement>& tasks,
@@ -879,7 +940,9 @@
     if (now - m.heard > bound && (ours || now - began_ > unheard)) expired.push_back(&m);
   }
   for (Machine* m : expired) machine_gone(*m);
-  std::set<std::string> kept;
+  for (auto& [klass, a] : arrivals_)
+    while (a.recent.size() > kMaxArrivals) a.recent.pop_front();
+  std::set<std::string> kept = kept_;
   for (auto& [id, job] : jobs_) {
     if (!job->held.empty() && now - job->held_since > net::ms(operator_.hold_timeout_s)) {
       job->held.clear();
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -2,6 +2,7 @@
 // begin() and stop(), which the election calls.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -132,6 +133,8 @@
   void kick();
   void run_pass();
   sched::Picture picture(std::vector<JobRecord*>& jobs);
+  std::vector<sched::Spare> spares(const sched::Picture& p) const;
+  void plan(sched::Picture p);
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks, const sched::Picture& p);
   void tick();
   void drain_noticed();
@@ -155,6 +158,15 @@
   state::Version watched_ = 0;
   std::map<std::string, std::unique_ptr<JobRecord>> jobs_;
   std::map<std::string, sched::Need> team_use_;
+
+  // Arrivals of the classes that have a start aim: what a spare is measured by.
+  struct Arrivals {
+    double within_s = 0;
+    wire::Job latest;
+    std::deque<std::pair<net::Ms, std::uint32_t>> recent;  // when, how many tasks
+  };
+  std::map<std::string, Arrivals> arrivals_;
+  std::set<std::string> kept_;  // machines wanted as spares
 };
 
 }  // namespace seampass::leader
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -23,11 +23,12 @@
 }
 
 // Score: lower is better. A machine with accelerators that the task does not use is dearest of
-// all; then a cached image saves a fetch, then the price counts, then the tightest fit.
+// all; then the price counts, before it a cached image where a quick start does; then the tightest
+// fit, so that machines empty and can be returned.
 auto score(const JobView& job, const MachineView& m) {
   const bool wasted = job.need.gpus == 0 && m.total.gpus > 0;
   const bool cached = m.images.count(job.image) != 0;
-  return std::make_tuple(wasted, !cached, m.price, m.free.gpus, m.free.cpus);
+  return std::make_tuple(wasted, job.urgent && !cached, m.price, !cached, m.free.gpus, m.free.cpus);
 }
 
 std::optional<std::size_t> choose(const Picture& p, const JobView& job, const Zones& placed,
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -60,6 +60,7 @@
   std::optional<std::string> zone;
   bool one_zone = false, spread = false, spot = false;
   std::string image;
+  bool urgent = false;  // its class has a short start aim: a cached image counts before the price
   std::uint32_t tasks = 0;
   std::vector<std::uint32_t> pending;           // tasks to place, lowest first; may be cut short
   std::map<std::string, std::uint32_t> placed;  // by zone: tasks still charged, any attempt
@@ -118,7 +119,20 @@
   int count = 0;
 };
 
-// Which machines to rent for what a pass left pending, after room that is booting is counted.
-std::vector<RentalWish> plan_rentals(Picture picture, const std::vector<RentalOption>& options);
+// Room to keep free for tasks that are expected to come before a new machine could be up.
+struct Spare {
+  JobView job;        // `pending` says how many
+  double budget = 0;  // for machines that nothing else needs, an hour
+};
+
+struct MachinePlan {
+  std::vector<RentalWish> rentals;
+  std::set<std::size_t> keep;  // machines whose free room is wanted as a spare
+};
+
+// Which machines to rent for what a pass left pending, after room that is booting is counted, and
+// which to rent or keep for what is expected.
+MachinePlan plan_machines(Picture picture, const std::vector<RentalOption>& options,
+                          const std::vector<Spare>& spares);
 
 }  // namespace seampass::sched
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -16,23 +16,42 @@
   return static_cast<std::uint32_t>(std::floor(n));
 }
 
-}  // namespace
+class Planner {
+ public:
+  Planner(Picture p, const std::vector<RentalOption>& options)
+      : p_(std::move(p)), options_(options), counts_(options.size(), 0) {}
 
-std::vector<RentalWish> plan_rentals(Picture p, const std::vector<RentalOption>& options) {
-  std::vector<int> counts(options.size(), 0);
-  for (const std::size_t j : queue_order(p.jobs)) {
-    JobView& job = p.jobs[j];
-    if (job.blocked || job.pending.empty()) continue;
-    TeamView& team = p.teams[job.team];
+  MachinePlan run(const std::vector<Spare>& spares) {
+    for (const std::size_t j : queue_order(p_.jobs)) {
+      const JobView& job = p_.jobs[j];
+      if (job.blocked || job.pending.empty()) continue;
+      double budget = std::numeric_limits<double>::infinity();
+      settle(job, false, budget);
+    }
+    for (const Spare& s : spares) {
+      double budget = s.budget;
+      settle(s.job, true, budget);
+    }
+    for (std::size_t i = 0; i < options_.size(); ++i)
+      if (counts_[i] > 0) plan_.rentals.push_back({i, counts_[i]});
+    return std::move(plan_);
+  }
+
+ private:
+  // Finds a place for what the job still lacks: on room that is on its way, else on rented room.
+  // A spare may also use what is open and free.
+  void settle(const JobView& job, bool spare, double& budget) {
+    TeamView unlimited;
+    TeamView& team = spare ? unlimited : p_.teams[job.team];
     auto left = static_cast<std::uint32_t>(job.pending.size() - job.held.size());
     // Held tasks are in the team's use already.
     left = std::min(left, team.allows(job.need));
-    if (job.kind == wire::JobKind::gang && left < job.pending.size() - job.held.size()) continue;
+    if (job.kind == wire::JobKind::gang && left < job.pending.size() - job.held.size()) return;
     team.cpus += left * job.need.cpus;
     team.gpus += left * job.need.gpus;
 
     std::map<std::string, std::uint32_t> placed = job.placed;
-    for (const Placement& x : job.held) ++placed[p.machines[x.machine].zone];
+    for (const Placement& x : job.held) ++placed[p_.machines[x.machine].zone];
     std::string only = job.zone.value_or("");
     if (job.one_zone && only.empty())
       for (const auto& [zone, n] : placed)
@@ -43,53 +62,66 @@
       const auto it = placed.find(zone);
       return it == placed.end() || it->second < (job.tasks + 1) / 2;
     };
-    const auto settle = [&](const std::string& zone) {
-      ++placed[zone];
-      if (job.one_zone) only = zone;
+    const auto take = [&](MachineView& m) {
+      m.free -= job.need;
+      ++placed[m.zone];
+      if (job.one_zone) only = m.zone;
       --left;
     };
 
-    // Room that is on its way already.
-    for (MachineView& m : p.machines) {
-      while (left > 0 && m.booting && job.need.fits_in(m.free) &&
-             allowed(job, m.type, m.zone, m.spot) && zone_ok(m.zone)) {
-        m.free -= job.need;
-        settle(m.zone);
+    for (std::size_t i = 0; i < p_.machines.size(); ++i) {
+      MachineView& m = p_.machines[i];
+      if (!(m.booting || (spare && m.open)) || !allowed(job, m.type, m.zone, m.spot)) continue;
+      while (left > 0 && job.need.fits_in(m.free) && zone_ok(m.zone)) {
+        if (spare && m.open && plan_.keep.count(i) == 0) {
+          const bool idle = m.free.cpus >= m.total.cpus && m.free.gpus >= m.total.gpus;
+          if (idle && m.price > budget) break;
+          if (idle) budget -= m.price;
+          plan_.keep.insert(i);
+        }
+        take(m);
       }
     }
     while (left > 0) {
-      std::size_t best = options.size();
+      std::size_t best = options_.size();
       double best_cost = std::numeric_limits<double>::infinity();
-      for (std::size_t i = 0; i < options.size(); ++i) {
-        const RentalOption& o = options[i];
+      for (std::size_t i = 0; i < options_.size(); ++i) {
+        const RentalOption& o = options_[i];
         const std::uint32_t fit = std::min(capacity(job.need, o.total), left);
         if (fit == 0 || !allowed(job, o.type, o.zone, o.spot) || !zone_ok(o.zone)) continue;
+        if (o.price > budget) continue;
         const double cost = o.price / fit;
         if (cost < best_cost) {
           best = i;
           best_cost = cost;
         }
       }
-      if (best == options.size()) break;
-      const RentalOption& o = options[best];
-      ++counts[best];
+      if (best == options_.size()) break;
+      const RentalOption& o = options_[best];
+      ++counts_[best];
+      budget -= o.price;
       MachineView m;
       m.type = o.type;
       m.zone = o.zone;
       m.spot = o.spot;
       m.booting = true;
       m.total = m.free = o.total;
-      while (left > 0 && job.need.fits_in(m.free) && zone_ok(m.zone)) {
-        m.free -= job.need;
-        settle(m.zone);
-      }
-      p.machines.push_back(std::move(m));
+      while (left > 0 && job.need.fits_in(m.free) && zone_ok(m.zone)) take(m);
+      p_.machines.push_back(std::move(m));
     }
   }
-  std::vector<RentalWish> wishes;
-  for (std::size_t i = 0; i < options.size(); ++i)
-    if (counts[i] > 0) wishes.push_back({i, counts[i]});
-  return wishes;
+
+  Picture p_;
+  const std::vector<RentalOption>& options_;
+  std::vector<int> counts_;
+  MachinePlan plan_;
+};
+
+}  // namespace
+
+MachinePlan plan_machines(Picture picture, const std::vector<RentalOption>& options,
+                          const std::vector<Spare>& spares) {
+  return Planner(std::move(picture), options).run(spares);
 }
 
 }  // namespace seampass::sched
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -159,7 +159,7 @@
                                              {"small", "a", false, 1, {4, 0, 16}}};
   Picture p;
   p.jobs.push_back(waiting("wk-1", wire::JobKind::array, 6, {4, 1, 8}));
-  auto wishes = plan_rentals(p, options);
+  auto wishes = plan_machines(p, options, {}).rentals;
   ASSERT_EQ(wishes.size(), 1u);
   EXPECT_EQ(wishes[0].option, 1u);
   EXPECT_EQ(wishes[0].count, 2);
@@ -169,13 +169,13 @@
   m.booting = true;
   m.total = m.free = {16, 4, 64};
   p.machines.push_back(m);
-  wishes = plan_rentals(p, options);
+  wishes = plan_machines(p, options, {}).rentals;
   ASSERT_EQ(wishes.size(), 1u);
   EXPECT_EQ(wishes[0].count, 1);
   p.jobs[0].spot = false;
-  EXPECT_EQ(plan_rentals(p, options)[0].option, 0u);
+  EXPECT_EQ(plan_machines(p, options, {}).rentals[0].option, 0u);
   p.teams["red"].gpus_max = 4;  // no more than the limit lets run
-  EXPECT_TRUE(plan_rentals(p, options).empty());
+  EXPECT_TRUE(plan_machines(p, options, {}).rentals.empty());
 }
 
 TEST(Sched, RentsAGangsMachinesInOneZone) {
@@ -185,11 +185,32 @@
   p.jobs.push_back(waiting("wk-1", wire::JobKind::gang, 3, {4, 0, 8}));
   p.jobs[0].one_zone = true;
   p.jobs[0].spot = false;
-  const auto wishes = plan_rentals(p, options);
+  const auto wishes = plan_machines(p, options, {}).rentals;
   ASSERT_EQ(wishes.size(), 1u);
   EXPECT_EQ(wishes[0].option, 0u);
   EXPECT_EQ(wishes[0].count, 3);
 }
 
+TEST(Sched, KeepsSparesWithinTheirBudget) {
+  const std::vector<RentalOption> options = {{"small", "a", false, 1, {4, 0, 16}}};
+  Picture p;
+  MachineView m;
+  m.type = "small";
+  m.zone = "a";
+  m.open = true;
+  m.price = 1;
+  m.total = m.free = {4, 0, 16};
+  p.machines = {m, m};
+  Spare spare{waiting("", wire::JobKind::array, 4, {4, 0, 8}), 3};
+  MachinePlan plan = plan_machines(p, options, {spare});
+  EXPECT_EQ(plan.keep.size(), 2u);  // two are there, and the budget pays for one more
+  ASSERT_EQ(plan.rentals.size(), 1u);
+  EXPECT_EQ(plan.rentals[0].count, 1);
+  spare.budget = 1;
+  plan = plan_machines(p, options, {spare});
+  EXPECT_EQ(plan.keep.size(), 1u);
+  EXPECT_TRUE(plan.rentals.empty());
+}
+
 }  // namespace
 }  // namespace seampass::sched
