--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -113,9 +113,10 @@
     s.teams.push_back({t.text("name"), t.number("cpus", 0), t.number("cpus_max", 0),
                        t.number("gpus", 0), t.number("gpus_max", 0)});
   for (const Reader& o : facts.tables("objectives")) {
-    Objective objective{o.text("kind"), "", 0};
+    Objective objective{o.text("kind"), "", 0, 1};
     if (o.has("class")) objective.klass = o.text("class");
     if (o.has("within_s")) objective.within_s = o.number("within_s", 0);
+    if (o.has("times")) objective.times = o.number("times", 0);
     s.objectives.push_back(objective);
   }
   const Reader w = facts.table("workers");
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -26,6 +26,7 @@
 struct Objective {
   std::string kind, klass;
   double within_s = 0;
+  double times = 1;  // of a deadline
 };
 
 struct Settings {
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace seampass::leader {
 
@@ -64,6 +65,7 @@
       chunk_tasks_(std::max<std::uint32_t>(
           16, static_cast<std::uint32_t>(settings.value_kb * 1024) / kTaskBytes)) {
   for (const config::Objective& o : settings.objectives) {
+    aims_[o.klass].push_back(o);
     if (o.kind != "wait" || o.klass.empty()) continue;
     Arrivals& a = arrivals_[o.klass];
     a.within_s = a.within_s > 0 ? std::min(a.within_s, o.within_s) : o.within_s;
@@ -371,7 +373,9 @@
 void Controller::set_state(Charge& c, TaskState state) {
   if (c.state == TaskState::running) --c.job->running;
   c.state = state;
-  if (c.state == TaskState::running) ++c.job->running;
+  if (c.state != TaskState::running) return;
+  ++c.job->running;
+  if (c.running_since == 0) c.running_since = runtime_.now();
 }
 
 void Controller::release(Charge& c) {
@@ -747,7 +751,16 @@
     v.spot = m.spot;
     v.price = m.spot ? type->spot_price : type->price;
     v.total = v.free = {type->cpus, type->gpus, type->memory_gb};
-    for (const auto& [key, c] : m.charges) v.free -= need_of(c->job->spec);
+    for (const auto& [key, c] : m.charges) {
+      const wire::Job& spec = c->job->spec;
+      v.free -= need_of(spec);
+      if (spec.kind == wire::JobKind::service) continue;
+      // The owner's estimate, often wrong: what has outlived it may take some more.
+      const double run_s =
+          c->running_since == 0 ? 0 : static_cast<double>(now - c->running_since) / 1000;
+      v.releases.emplace_back(std::max(spec.estimate_s - run_s, spec.estimate_s / 4),
+                              need_of(spec));
+    }
     // Half the lease without a word: whatever is started there may never be.
     v.open = m.up && !m.draining && !m.taken_at && m.strangers == 0 && now >= m.suspect_until &&
              now - m.heard < net::ms(settings_.lease_s) / 3;
@@ -798,6 +811,7 @@
     v.spread = job->spec.spread;
     v.spot = job->spec.spot;
     v.image = job->spec.image;
+    v.patience_s = patience_s(*job);
     v.urgent = arrivals_.count(job->spec.klass) != 0;
     v.tasks = job->spec.tasks;
     for (const auto& [task, c] : job->charges) ++v.placed[c.machine->zone];
@@ -846,6 +860,36 @@
   plan(std::move(p));
 }
 
+// How long a start may wait and still meet the first of its class's aims that can be met; at least
+// as long as a new machine would take.
+double Controller::patience_s(const JobRecord& job) const {
+  const wire::Job& spec = job.spec;
+  double boot = 0, fetch = 0;
+  for (const auto& [name, t] : types_.types()) {
+    if (!need_of(spec).fits_in({t.cpus, t.gpus, t.memory_gb})) continue;
+    if (spec.types &&
+        std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end())
+      continue;
+    boot = std::max(boot, t.boot_s);
+    if (t.fetch_gb_per_s > 0) fetch = std::max(fetch, spec.image_gb / t.fetch_gb_per_s);
+  }
+  const double age = static_cast<double>(runtime_.wall() - job.created_ms) / 1000;
+  double best = boot;
+  const auto aims = aims_.find(spec.klass);
+  if (aims == aims_.end()) return best;
+  double first = std::numeric_limits<double>::infinity();
+  for (const config::Objective& o : aims->second) {
+    double slack = -1;
+    if (o.kind == "wait") slack = o.within_s - age;
+    // Estimates err by half and more.
+    const double run = 1.5 * spec.estimate_s + fetch;
+    if (o.kind == "finished") slack = o.within_s - age - run;
+    if (o.kind == "deadline" && spec.deadline_s) slack = o.times * *spec.deadline_s - age - run;
+    if (slack > 0) first = std::min(first, slack);
+  }
+  return std::isfinite(first) ? std::max(best, first) : best;
+}
+
 // For each class with a start aim: as many tasks as are likely to come while a machine boots.
 std::vector<sched::Spare> Controller::spares(const sched::Picture& p) const {
   std::vector<sched::Spare> list;
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -38,6 +38,7 @@
   bool seen = false;
   int in_flight = 0;  // starts on their way through /commands
   wire::TaskState state = wire::TaskState::fetching;
+  net::Ms running_since = 0;
   bool stop = false;
   double grace_s = 0;
   net::Ms stop_since = 0;
@@ -133,6 +134,7 @@
   void kick();
   void run_pass();
   sched::Picture picture(std::vector<JobRecord*>& jobs);
+  double patience_s(const JobRecord& job) const;
   std::vector<sched::Spare> spares(const sched::Picture& p) const;
   void plan(sched::Picture p);
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks, const sched::Picture& p);
@@ -166,6 +168,7 @@
     std::deque<std::pair<net::Ms, std::uint32_t>> recent;  // when, how many tasks
   };
   std::map<std::string, Arrivals> arrivals_;
+  std::map<std::string, std::vector<config::Objective>> aims_;  // by class
   std::set<std::string> kept_;  // machines wanted as spares
 };
 
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -43,6 +43,7 @@
   Need total, free;
   double price = 0;  // an hour
   std::set<std::string> images;
+  std::vector<std::pair<double, Need>> releases;  // in how many seconds which room comes free
 };
 
 struct Placement {
@@ -61,6 +62,8 @@
   bool one_zone = false, spread = false, spot = false;
   std::string image;
   bool urgent = false;  // its class has a short start aim: a cached image counts before the price
+  // For how many seconds its start may wait for room that is in use, rather than new machines.
+  double patience_s = 0;
   std::uint32_t tasks = 0;
   std::vector<std::uint32_t> pending;           // tasks to place, lowest first; may be cut short
   std::map<std::string, std::uint32_t> placed;  // by zone: tasks still charged, any attempt
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -69,6 +69,18 @@
       --left;
     };
 
+    // Room that comes free in time costs nothing more.
+    for (MachineView& m : p_.machines) {
+      if (left == 0) break;
+      if (spare || !m.open || m.releases.empty() || !allowed(job, m.type, m.zone, m.spot)) continue;
+      Need coming = m.free;
+      for (const auto& [in_s, need] : m.releases)
+        if (in_s <= job.patience_s) coming += need;
+      while (left > 0 && job.need.fits_in(coming) && zone_ok(m.zone)) {
+        coming -= job.need;
+        take(m);  // leaves m.free below zero: a promise on what comes free
+      }
+    }
     for (std::size_t i = 0; i < p_.machines.size(); ++i) {
       MachineView& m = p_.machines[i];
       if (!(m.booting || (spare && m.open)) || !allowed(job, m.type, m.zone, m.spot)) continue;
