Clear room for urgent work of higher priority; no spares on types thrice as dear

A spare machine at 12.37 an hour costs more than stopping one array task that saves. Change: an urgent job that finds no room has the fewest lower-priority tasks that save stopped for it, and their machine is kept for it; spares only on types up to three times the cheapest that would do.

--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -26,6 +26,8 @@
 // Arrivals are counted over this many boot times.
 constexpr double kArrivalWindow = 6;
 constexpr std::size_t kMaxArrivals = 500;
+// A spare is kept on no type that costs more than this many times the cheapest that would do.
+constexpr double kSpareDearest = 3;
 
 sched::Need need_of(const wire::Job& j) { return {j.cpus, j.gpus, j.memory_gb}; }
 
@@ -754,6 +756,9 @@
     for (const auto& [key, c] : m.charges) {
       const wire::Job& spec = c->job->spec;
       v.free -= need_of(spec);
+      // Only what saves, runs, and is not being stopped already.
+      if (!c->job->gang() && spec.checkpoint_s > 0 && c->state == TaskState::running && !c->stop)
+        v.victims.push_back({spec.id, c->task, spec.priority, need_of(spec)});
       if (spec.kind == wire::JobKind::service) continue;
       // The owner's estimate, often wrong: what has outlived it may take some more.
       const double run_s =
@@ -766,6 +771,7 @@
              now - m.heard < net::ms(settings_.lease_s) / 3;
     v.booting = !m.up && m.charges.empty() && now - m.since < net::ms(2 * type->boot_s);
     v.images = m.images;
+    if (now < m.claimed_until && jobs_.count(m.claimed_by) != 0) v.claimed_by = m.claimed_by;
     index[name] = p.machines.size();
     p.machines.push_back(std::move(v));
   }
@@ -853,6 +859,7 @@
   for (const sched::Batch& b : d.holds)
     for (const sched::Placement& x : b.tasks)
       jobs[b.job]->held.emplace_back(x.task, p.machines[x.machine].name);
+  evict(d, p);
   for (const sched::Batch& b : d.starts) start(*jobs[b.job], b.tasks, p);
   // Renting is paced: what is asked of the cloud takes far longer than the pause.
   if (now - last_rental_ < net::ms(settings_.report_s / 3)) return;
@@ -867,8 +874,7 @@
   double boot = 0, fetch = 0;
   for (const auto& [name, t] : types_.types()) {
     if (!need_of(spec).fits_in({t.cpus, t.gpus, t.memory_gb})) continue;
-    if (spec.types &&
-        std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end())
+    if (spec.types && std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end())
       continue;
     boot = std::max(boot, t.boot_s);
     if (t.fetch_gb_per_s > 0) fetch = std::max(fetch, spec.image_gb / t.fetch_gb_per_s);
@@ -899,9 +905,12 @@
   for (const auto& [klass, a] : arrivals_) {
     if (a.recent.empty()) continue;
     const wire::Job& spec = a.latest;
-    double boot = 0;
-    for (const auto& [name, t] : types_.types())
-      if (need_of(spec).fits_in({t.cpus, t.gpus, t.memory_gb})) boot = std::max(boot, t.boot_s);
+    double boot = 0, cheapest = std::numeric_limits<double>::infinity();
+    for (const auto& [name, t] : types_.types()) {
+      if (!need_of(spec).fits_in({t.cpus, t.gpus, t.memory_gb})) continue;
+      boot = std::max(boot, t.boot_s);
+      cheapest = std::min(cheapest, spec.spot ? t.spot_price : t.price);
+    }
     // A class whose aim leaves time to boot needs no spare.
     if (boot <= 0 || a.within_s > 2 * boot) continue;
     const Ms window = std::min(now - a.recent.front().first, net::ms(kArrivalWindow * boot));
@@ -912,6 +921,7 @@
     const auto count = static_cast<std::uint32_t>(std::ceil(expected + std::sqrt(expected)));
     sched::Spare s;
     s.budget = operator_.spare_share * spent;
+    s.dearest = kSpareDearest * cheapest;
     s.job.kind = wire::JobKind::array;
     s.job.priority = wire::Priority::low;
     s.job.need = need_of(spec);
@@ -925,6 +935,29 @@
   return list;
 }
 
+void Controller::evict(const sched::Decisions& d, const sched::Picture& p) {
+  std::vector<Charge*> stops;
+  for (const sched::Eviction& e : d.evictions) {
+    double grace = 0;
+    for (const sched::Victim& v : e.tasks) {
+      const auto job = jobs_.find(v.job);
+      if (job == jobs_.end()) continue;
+      const auto c = job->second->charges.find(v.task);
+      if (c == job->second->charges.end()) continue;
+      const double save = job->second->spec.save_s + settings_.report_s / 3;
+      stop_charge(c->second, save);
+      stops.push_back(&c->second);
+      grace = std::max(grace, save);
+    }
+    Machine* m = fleet_.find(p.machines[e.machine].name);
+    if (!m) continue;
+    m->claimed_by = p.jobs[e.job].id;
+    m->claimed_until = runtime_.now() + net::ms(grace + 2 * settings_.report_s);
+    spdlog::debug("clearing {} of {} tasks for {}", m->name, e.tasks.size(), m->claimed_by);
+  }
+  send_stops(stops);
+}
+
 void Controller::plan(sched::Picture p) {
   const auto wanted = spares(p);
   std::vector<std::string> names;
@@ -939,6 +972,8 @@
 void Controller::start(JobRecord& job, const std::vector<sched::Placement>& tasks,
                        const sched::Picture& p) {
   const std::uint64_t attempt = ++job.last_attempt;
+  for (auto& [name, m] : fleet_.machines())
+    if (m.claimed_by == job.spec.id) m.claimed_by.clear();
   job.whole_only = false;
   std::map<std::uint32_t, std::vector<std::pair<std::uint32_t, std::uint64_t>>> by_chunk;
   std::vector<std::pair<std::uint32_t, std::uint64_t>> all;
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -137,6 +137,7 @@
   double patience_s(const JobRecord& job) const;
   std::vector<sched::Spare> spares(const sched::Picture& p) const;
   void plan(sched::Picture p);
+  void evict(const sched::Decisions& decisions, const sched::Picture& p);
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks, const sched::Picture& p);
   void tick();
   void drain_noticed();
@@ -169,7 +170,7 @@
   };
   std::map<std::string, Arrivals> arrivals_;
   std::map<std::string, std::vector<config::Objective>> aims_;  // by class
-  std::set<std::string> kept_;  // machines wanted as spares
+  std::set<std::string> kept_;                                  // machines wanted as spares
 };
 
 }  // namespace seampass::leader
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -36,6 +36,8 @@
   net::Ms suspect_until = 0;
   int errors = 0;
   std::map<std::pair<std::string, std::uint32_t>, Charge*> charges;
+  std::string claimed_by;  // a job that room is being cleared for
+  net::Ms claimed_until = 0;
   std::size_t strangers = 0;  // reported tasks that nothing charges
   std::set<std::string> images;
   std::set<AttemptName> exited;  // reported as ended and not forgotten yet
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -37,6 +37,7 @@
   for (std::size_t i = 0; i < p.machines.size(); ++i) {
     const MachineView& m = p.machines[i];
     if (!m.open || (only_zone && m.zone != *only_zone)) continue;
+    if (!m.claimed_by.empty() && m.claimed_by != job.id) continue;
     if (!job.need.fits_in(m.free) || !allowed(job, m.type, m.zone, m.spot)) continue;
     if (!zone_allows(job, placed, m.zone) || job.avoid.count(i) != 0) continue;
     if (p.choice == MachineChoice::first_fit) return i;
@@ -137,6 +138,41 @@
   }
 }
 
+// Preemption: an urgent job that found no place has room cleared for it, a machine for each task it
+// lacks, where the fewest tasks of lower priority must stop. It starts there by a later pass, like
+// any other; until then nobody else takes that room.
+void clear_room(Picture& p, std::size_t j, Decisions& out) {
+  const JobView& job = p.jobs[j];
+  std::uint32_t lacks = static_cast<std::uint32_t>(job.pending.size() - job.held.size());
+  if (lacks > p.teams[job.team].allows(job.need)) return;
+  for (const MachineView& m : p.machines) lacks -= m.claimed_by == job.id && lacks > 0 ? 1 : 0;
+  Zones placed = job.placed;
+  for (const Placement& x : job.held) ++placed[p.machines[x.machine].zone];
+  while (lacks > 0) {
+    Eviction best;
+    for (std::size_t i = 0; i < p.machines.size(); ++i) {
+      const MachineView& m = p.machines[i];
+      if (!m.open || !m.claimed_by.empty() || !allowed(job, m.type, m.zone, m.spot)) continue;
+      if (!zone_allows(job, placed, m.zone) || job.avoid.count(i) != 0) continue;
+      Eviction e{i, j, {}};
+      Need room = m.free;
+      for (const Victim& v : m.victims) {
+        if (job.need.fits_in(room)) break;
+        if (v.priority <= job.priority) continue;
+        room += v.need;
+        e.tasks.push_back(v);
+      }
+      if (e.tasks.empty() || !job.need.fits_in(room)) continue;
+      if (best.tasks.empty() || e.tasks.size() < best.tasks.size()) best = std::move(e);
+    }
+    if (best.tasks.empty()) return;
+    p.machines[best.machine].claimed_by = job.id;
+    ++placed[p.machines[best.machine].zone];
+    out.evictions.push_back(std::move(best));
+    --lacks;
+  }
+}
+
 }  // namespace
 
 std::uint32_t TeamView::allows(const Need& need) const {
@@ -175,6 +211,7 @@
       place_gang(p, j, out);
     else
       place_singly(p, j, out);
+    if (job.urgent && !job.pending.empty()) clear_room(p, j, out);
   }
   return out;
 }
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -35,8 +35,18 @@
   }
 };
 
+// A running task that may be stopped for work of a higher priority: it saves its progress.
+struct Victim {
+  std::string job;
+  std::uint32_t task = 0;
+  wire::Priority priority = wire::Priority::normal;
+  Need need;
+};
+
 struct MachineView {
   std::string name, type, zone;
+  std::string claimed_by;  // room that is being cleared for this job, and for no other
+  std::vector<Victim> victims;
   bool spot = false;
   bool open = false;     // tasks may be started on it now
   bool booting = false;  // will be open later
@@ -95,7 +105,13 @@
   std::vector<Placement> tasks;
 };
 
+struct Eviction {
+  std::size_t machine = 0, job = 0;  // for which job
+  std::vector<Victim> tasks;
+};
+
 struct Decisions {
+  std::vector<Eviction> evictions;
   std::vector<Batch> starts;
   std::vector<Batch> holds;  // each gang's whole new set; a gang not named holds nothing
 };
@@ -124,8 +140,9 @@
 
 // Room to keep free for tasks that are expected to come before a new machine could be up.
 struct Spare {
-  JobView job;        // `pending` says how many
-  double budget = 0;  // for machines that nothing else needs, an hour
+  JobView job;         // `pending` says how many
+  double budget = 0;   // for machines that nothing else needs, an hour
+  double dearest = 0;  // no machine above this price
 };
 
 struct MachinePlan {
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -26,11 +26,11 @@
       const JobView& job = p_.jobs[j];
       if (job.blocked || job.pending.empty()) continue;
       double budget = std::numeric_limits<double>::infinity();
-      settle(job, false, budget);
+      settle(job, false, budget, budget);
     }
     for (const Spare& s : spares) {
       double budget = s.budget;
-      settle(s.job, true, budget);
+      settle(s.job, true, budget, s.dearest);
     }
     for (std::size_t i = 0; i < options_.size(); ++i)
       if (counts_[i] > 0) plan_.rentals.push_back({i, counts_[i]});
@@ -40,13 +40,17 @@
  private:
   // Finds a place for what the job still lacks: on room that is on its way, else on rented room.
   // A spare may also use what is open and free.
-  void settle(const JobView& job, bool spare, double& budget) {
+  void settle(const JobView& job, bool spare, double& budget, double dearest) {
+    // Room that is being cleared for it.
+    std::uint32_t claimed = 0;
+    for (const MachineView& m : p_.machines) claimed += !spare && m.claimed_by == job.id ? 1 : 0;
     TeamView unlimited;
     TeamView& team = spare ? unlimited : p_.teams[job.team];
     auto left = static_cast<std::uint32_t>(job.pending.size() - job.held.size());
     // Held tasks are in the team's use already.
     left = std::min(left, team.allows(job.need));
     if (job.kind == wire::JobKind::gang && left < job.pending.size() - job.held.size()) return;
+    left -= std::min(left, claimed);
     team.cpus += left * job.need.cpus;
     team.gpus += left * job.need.gpus;
 
@@ -84,6 +88,7 @@
     for (std::size_t i = 0; i < p_.machines.size(); ++i) {
       MachineView& m = p_.machines[i];
       if (!(m.booting || (spare && m.open)) || !allowed(job, m.type, m.zone, m.spot)) continue;
+      if (m.price > dearest) continue;
       while (left > 0 && job.need.fits_in(m.free) && zone_ok(m.zone)) {
         if (spare && m.open && plan_.keep.count(i) == 0) {
           const bool idle = m.free.cpus >= m.total.cpus && m.free.gpus >= m.total.gpus;
@@ -101,7 +106,7 @@
         const RentalOption& o = options_[i];
         const std::uint32_t fit = std::min(capacity(job.need, o.total), left);
         if (fit == 0 || !allowed(job, o.type, o.zone, o.spot) || !zone_ok(o.zone)) continue;
-        if (o.price > budget) continue;
+        if (o.price > budget || o.price > dearest) continue;
         const double cost = o.price / fit;
         if (cost < best_cost) {
           best = i;
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -191,6 +191,43 @@
   EXPECT_EQ(wishes[0].count, 3);
 }
 
+TEST(Sched, ClearsRoomOnlyForUrgentWorkOfHigherPriority) {
+  Picture p;
+  MachineView m;
+  m.type = "big";
+  m.zone = "a";
+  m.open = true;
+  m.total = {8, 4, 64};
+  m.free = {0, 2, 32};
+  m.victims = {{"wk-8", 0, wire::Priority::normal, {4, 1, 16}},
+               {"wk-8", 1, wire::Priority::normal, {4, 1, 16}}};
+  p.machines = {m, m};
+  p.machines[1].victims.pop_back();
+  p.machines[1].free.cpus = 4;
+  JobView job = waiting("wk-1", wire::JobKind::gang, 1, {8, 0, 16});
+  job.urgent = true;
+  p.jobs = {job};
+  Picture same = p;
+  EXPECT_TRUE(pass(same).evictions.empty());  // equal priority stops nothing
+  p.jobs[0].priority = wire::Priority::high;
+  same = p;
+  const Decisions d = pass(same);
+  ASSERT_EQ(d.evictions.size(), 1u);
+  EXPECT_EQ(d.evictions[0].machine, 1u);  // one task there, two on the other
+  EXPECT_EQ(d.evictions[0].tasks.size(), 1u);
+  // Once cleared, the room is for that job alone, and it clears no more.
+  p.machines[1].claimed_by = "wk-1";
+  p.machines[1].free = {8, 4, 64};
+  p.machines[1].victims.clear();
+  JobView other = waiting("wk-0", wire::JobKind::array, 1, {4, 0, 8});
+  other.priority = wire::Priority::critical;
+  p.jobs = {other, p.jobs[0]};
+  const Decisions after = pass(p);
+  ASSERT_EQ(after.starts.size(), 1u);
+  EXPECT_EQ(after.starts[0].job, 1u);
+  EXPECT_TRUE(after.evictions.empty());
+}
+
 TEST(Sched, KeepsSparesWithinTheirBudget) {
   const std::vector<RentalOption> options = {{"small", "a", false, 1, {4, 0, 16}}};
   Picture p;
@@ -201,11 +238,14 @@
   m.price = 1;
   m.total = m.free = {4, 0, 16};
   p.machines = {m, m};
-  Spare spare{waiting("", wire::JobKind::array, 4, {4, 0, 8}), 3};
+  Spare spare{waiting("", wire::JobKind::array, 4, {4, 0, 8}), 3, 2};
   MachinePlan plan = plan_machines(p, options, {spare});
   EXPECT_EQ(plan.keep.size(), 2u);  // two are there, and the budget pays for one more
   ASSERT_EQ(plan.rentals.size(), 1u);
   EXPECT_EQ(plan.rentals[0].count, 1);
+  spare.dearest = 0.5;
+  EXPECT_TRUE(plan_machines(p, options, {spare}).keep.empty());
+  spare.dearest = 2;
   spare.budget = 1;
   plan = plan_machines(p, options, {spare});
   EXPECT_EQ(plan.keep.size(), 1u);
