--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -880,7 +880,7 @@
     if (t.fetch_gb_per_s > 0) fetch = std::max(fetch, spec.image_gb / t.fetch_gb_per_s);
   }
   const double age = static_cast<double>(runtime_.wall() - job.created_ms) / 1000;
-  double best = boot;
+  double best = boot / 2;
   const auto aims = aims_.find(spec.klass);
   if (aims == aims_.end()) return best;
   double first = std::numeric_limits<double>::infinity();
@@ -890,7 +890,7 @@
     // Estimates err by half and more.
     const double run = 1.5 * spec.estimate_s + fetch;
     if (o.kind == "finished") slack = o.within_s - age - run;
-    if (o.kind == "deadline" && spec.deadline_s) slack = o.times * *spec.deadline_s - age - run;
+    if (o.kind == "deadline") slack = 0;
     if (slack > 0) first = std::min(first, slack);
   }
   return std::isfinite(first) ? std::max(best, first) : best;
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -150,6 +150,7 @@
   for (const Placement& x : job.held) ++placed[p.machines[x.machine].zone];
   while (lacks > 0) {
     Eviction best;
+    std::pair<bool, std::size_t> best_cost;
     for (std::size_t i = 0; i < p.machines.size(); ++i) {
       const MachineView& m = p.machines[i];
       if (!m.open || !m.claimed_by.empty() || !allowed(job, m.type, m.zone, m.spot)) continue;
@@ -163,7 +164,12 @@
         e.tasks.push_back(v);
       }
       if (e.tasks.empty() || !job.need.fits_in(room)) continue;
-      if (best.tasks.empty() || e.tasks.size() < best.tasks.size()) best = std::move(e);
+      // A fetch takes longer than stopping one task more.
+      const auto cost = std::make_pair(m.images.count(job.image) == 0, e.tasks.size());
+      if (best.tasks.empty() || cost < best_cost) {
+        best = std::move(e);
+        best_cost = cost;
+      }
     }
     if (best.tasks.empty()) return;
     p.machines[best.machine].claimed_by = job.id;
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <numeric>
 
 #include "sched/picture.h"
 
@@ -85,7 +86,14 @@
         take(m);  // leaves m.free below zero: a promise on what comes free
       }
     }
-    for (std::size_t i = 0; i < p_.machines.size(); ++i) {
+    // A spare is kept where it costs least.
+    std::vector<std::size_t> order(p_.machines.size());
+    std::iota(order.begin(), order.end(), 0);
+    if (spare)
+      std::stable_sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
+        return p_.machines[a].price < p_.machines[b].price;
+      });
+    for (const std::size_t i : order) {
       MachineView& m = p_.machines[i];
       if (!(m.booting || (spare && m.open)) || !allowed(job, m.type, m.zone, m.spot)) continue;
       if (m.price > dearest) continue;
