When more is asked than there is, teams are served in turn by shares

The users wish for team queues served by shares. Change: once a job has waited for two boots, the queue within a priority goes by how far its team is beyond its guarantee, then creation time.

--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -732,7 +732,9 @@
   const Ms now = runtime_.now();
   p.choice = operator_.machine_choice == "first-fit" ? sched::MachineChoice::first_fit
                                                      : sched::MachineChoice::scored;
+  std::map<std::string, double> guaranteed;
   for (const config::Team& t : settings_.teams) {
+    guaranteed[t.name] = t.gpus;
     sched::TeamView& v = p.teams[t.name];
     if (t.cpus_max > 0) v.cpus_max = t.cpus_max;
     if (t.gpus_max > 0) v.gpus_max = t.gpus_max;
@@ -788,6 +790,9 @@
       p.machines.push_back(std::move(v));
     }
   }
+  double longest_boot = 0;
+  for (const auto& [name, t] : types_.types()) longest_boot = std::max(longest_boot, t.boot_s);
+  bool short_of_room = false;
   for (auto& [id, job] : jobs_) {
     if (job->ending) continue;
     const bool gang = job->gang();
@@ -839,9 +844,12 @@
       p.teams[v.team].gpus += v.need.gpus;
       v.held.push_back({task, it->second});
     }
+    // Machines have had time to come, twice over, and did not: more is asked than there is.
+    short_of_room = short_of_room || age_s(*job) > 2 * longest_boot;
     p.jobs.push_back(std::move(v));
     jobs.push_back(job.get());
   }
+  if (short_of_room) sched::set_turns(p.jobs, p.teams, guaranteed);
   return p;
 }
 
@@ -867,6 +875,10 @@
   plan(std::move(p));
 }
 
+double Controller::age_s(const JobRecord& job) const {
+  return static_cast<double>(runtime_.wall() - job.created_ms) / 1000;
+}
+
 // How long a start may wait and still meet the first of its class's aims that can be met; at least
 // as long as a new machine would take.
 double Controller::patience_s(const JobRecord& job) const {
@@ -879,7 +891,7 @@
     boot = std::max(boot, t.boot_s);
     if (t.fetch_gb_per_s > 0) fetch = std::max(fetch, spec.image_gb / t.fetch_gb_per_s);
   }
-  const double age = static_cast<double>(runtime_.wall() - job.created_ms) / 1000;
+  const double age = age_s(job);
   double best = boot / 2;
   const auto aims = aims_.find(spec.klass);
   if (aims == aims_.end()) return best;
@@ -890,7 +902,7 @@
     // Estimates err by half and more.
     const double run = 1.5 * spec.estimate_s + fetch;
     if (o.kind == "finished") slack = o.within_s - age - run;
-    if (o.kind == "deadline") slack = 0;
+    // (A deadline's slack is not waited out: estimates are too poor, and late work is paid for.)
     if (slack > 0) first = std::min(first, slack);
   }
   return std::isfinite(first) ? std::max(best, first) : best;
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -134,6 +134,7 @@
   void kick();
   void run_pass();
   sched::Picture picture(std::vector<JobRecord*>& jobs);
+  double age_s(const JobRecord& job) const;
   double patience_s(const JobRecord& job) const;
   std::vector<sched::Spare> spares(const sched::Picture& p) const;
   void plan(sched::Picture p);
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -194,11 +194,33 @@
   for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
   std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
     const JobView &x = jobs[a], &y = jobs[b];
-    return std::tie(x.priority, x.created_ms, x.id) < std::tie(y.priority, y.created_ms, y.id);
+    return std::tie(x.priority, x.turn, x.created_ms, x.id) <
+           std::tie(y.priority, y.turn, y.created_ms, y.id);
   });
   return order;
 }
 
+void set_turns(std::vector<JobView>& jobs, const std::map<std::string, TeamView>& teams,
+               const std::map<std::string, double>& guaranteed) {
+  for (JobView& j : jobs) j.turn = 0;
+  std::map<std::string, std::pair<double, double>> asked;  // GPUs, CPUs
+  for (const auto& [name, t] : teams) asked[name] = {t.gpus, t.cpus};
+  for (const std::size_t i : queue_order(jobs)) {
+    JobView& job = jobs[i];
+    auto& [gpus, cpus] = asked[job.team];
+    const auto n = static_cast<double>(job.pending.size() - job.held.size());
+    gpus += n * job.need.gpus;
+    cpus += n * job.need.cpus;
+    const auto g = guaranteed.find(job.team);
+    if (job.need.gpus > 0 && g != guaranteed.end() && g->second > 0) {
+      const double share = gpus / g->second;
+      job.turn = share <= 1 ? 0 : share;  // within its guarantee a team waits on no other
+    } else {
+      job.turn = cpus;
+    }
+  }
+}
+
 bool allowed(const JobView& job, const std::string& type, const std::string& zone, bool spot) {
   if (spot && !job.spot) return false;
   if (job.zone && *job.zone != zone) return false;
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -65,6 +65,8 @@
   std::string id, team;
   wire::JobKind kind = wire::JobKind::array;
   wire::Priority priority = wire::Priority::normal;
+  // 0 on the ordinary path. When more is asked than there is: how far the team is beyond its share.
+  double turn = 0;
   std::int64_t created_ms = 0;
   Need need;
   const std::optional<std::vector<std::string>>* types = nullptr;  // null: any
@@ -91,6 +93,11 @@
   std::uint32_t allows(const Need& need) const;
 };
 
+// Teams served in turn by shares: sets each job's `turn` from what its team uses and has asked for
+// before it. `guaranteed` is the team's GPUs; a team without any is counted by its CPUs.
+void set_turns(std::vector<JobView>& jobs, const std::map<std::string, TeamView>& teams,
+               const std::map<std::string, double>& guaranteed);
+
 enum class MachineChoice { first_fit, scored };
 
 struct Picture {
@@ -116,7 +123,7 @@
   std::vector<Batch> holds;  // each gang's whole new set; a gang not named holds nothing
 };
 
-// Queue sort: priority, creation time, id.
+// Queue sort: priority, turn (the exception of docs/design.md), creation time, id.
 std::vector<std::size_t> queue_order(const std::vector<JobView>& jobs);
 
 // Filter: may a task of this job ever be on this machine, room aside?
--- a/tests/model/plain_scheduler.h
+++ b/tests/model/plain_scheduler.h
@@ -49,6 +49,7 @@
  private:
   static bool before(const sched::JobView& a, const sched::JobView& b) {
     if (a.priority != b.priority) return a.priority < b.priority;
+    if (a.turn != b.turn) return a.turn < b.turn;
     if (a.created_ms != b.created_ms) return a.created_ms < b.created_ms;
     return a.id < b.id;
   }
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -43,6 +43,7 @@
     j.team = pick(2) ? "red" : "blue";
     j.kind = pick(2) ? wire::JobKind::gang : wire::JobKind::array;
     j.priority = static_cast<wire::Priority>(pick(4));
+    j.turn = pick(4) == 0 ? 1 + pick(2) : 0;
     j.created_ms = pick(4);
     j.need = {1.0 + pick(5), pick(2) * 1.0, 8.0 * pick(4)};
     j.types = pick(3) == 0 ? &kOnlyBig : &kAny;
@@ -228,6 +229,24 @@
   EXPECT_TRUE(after.evictions.empty());
 }
 
+TEST(Sched, TeamsAreServedInTurnByShares) {
+  std::vector<JobView> jobs;
+  for (int i = 0; i < 4; ++i) {  // red asks for much, and first
+    jobs.push_back(waiting("wk-" + std::to_string(i), wire::JobKind::array, 4, {1, 1, 1}));
+    jobs.back().created_ms = i;
+  }
+  jobs.push_back(waiting("wk-8", wire::JobKind::array, 4, {1, 1, 1}));
+  jobs.back().team = "blue";
+  jobs.back().created_ms = 9;
+  jobs.push_back(jobs.back());
+  jobs.back().id = "wk-9";
+  set_turns(jobs, {}, {{"red", 4}, {"blue", 4}});
+  // Each team's first job is within its guarantee; then they alternate.
+  EXPECT_EQ(queue_order(jobs), (std::vector<std::size_t>{0, 4, 1, 5, 2, 3}));
+  for (JobView& j : jobs) j.turn = 0;  // nothing is short: by creation time
+  EXPECT_EQ(queue_order(jobs), (std::vector<std::size_t>{0, 1, 2, 3, 4, 5}));
+}
+
 TEST(Sched, KeepsSparesWithinTheirBudget) {
   const std::vector<RentalOption> options = {{"small", "a", false, 1, {4, 0, 16}}};
   Picture p;
