--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -301,6 +301,27 @@
   w.expect_rules();
 }
 
+TEST(Cluster, UrgentGangHasRoomClearedForIt) {
+  World w(1, 2);
+  w.cloud.capacity = 2;
+  ASSERT_TRUE(w.settle());
+  auto bulk = array_job("wk-1", 4, 40);
+  bulk.checkpoint_s = 5;
+  bulk.save_s = 1;
+  w.submit("n0", bulk);
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  w.time.run_for(2000);
+  auto urgent = gang_job("wk-2", 1, 5);
+  urgent.klass = "urgent";
+  urgent.priority = wire::Priority::high;
+  w.submit("n1", urgent);
+  w.time.run_for(9000);
+  EXPECT_EQ(w.judge.starts.count({"wk-2", 0}), 1u);
+  EXPECT_TRUE(w.reaches("wk-2", "done", 30000));
+  EXPECT_TRUE(w.reaches("wk-1", "done", 200000));
+  w.expect_rules();
+}
+
 // Many days of mixed troubles, each from its seed.
 class Troubles : public ::testing::TestWithParam<unsigned> {};
 
@@ -338,8 +359,14 @@
       case 0:
       case 1:
       case 2: {
-        const auto job = random() % 3 == 0 ? gang_job(id, 1 + random() % 3, 8)
-                                           : array_job(id, 1 + random() % 6, 8);
+        auto job = random() % 3 == 0 ? gang_job(id, 1 + random() % 3, 8)
+                                     : array_job(id, 1 + random() % 6, 8);
+        if (job.kind == wire::JobKind::gang && random() % 2 == 0) {
+          job.klass = "urgent";  // has room cleared for it
+          job.priority = wire::Priority::high;
+        }
+        job.checkpoint_s = 2;
+        job.save_s = 1;
         const int status = w.submit(node, job).status;
         if (status == 201 || status == 200) accepted.push_back(id);
         break;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -21,6 +21,7 @@
   s.state = "state:1";
   s.zones = {"a", "b"};
   s.teams = {{"red", 0, 0, 4, 8}, {"blue", 0, 0, 4, 16}};
+  s.objectives = {{"wait", "urgent", 10, 1}};
   s.report_s = 3;
   s.lease_s = 20;
   s.gang_wait_s = 30;
