A leader the state service refuses makes way at once; submissions go through the leader

Ruled out: an outage of the service for all (the next leader was elected while the former was still refused).

--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -50,7 +50,7 @@
 // Each default is a ratio to the platform's figures; deploy/operator.example.yaml documents them.
 struct Operator {
   double hold_timeout_s = 20;  // how long a gang may hold room short of its minimum (design: 20)
-  double idle_return = 0.25;    // an idle machine is returned after this many of its boot times
+  double idle_return = 0.25;   // an idle machine is returned after this many of its boot times
   // What machines kept free for classes with a start aim may cost, as a share of all that is
   // rented.
   double spare_share = 0.08;
--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -69,7 +69,7 @@
     if (!want(abort ? "POST" : "GET")) return;
     if (!wire::valid_job_id(id)) return answer(refusal(404, "no such job"));
     if (abort) return cancel(std::string(id), answer);
-    return current(std::string(id), false, answer);
+    return current(std::string(id), answer);
   }
   answer(refusal(404, "no such path"));
 }
@@ -116,17 +116,32 @@
   }
   // More waits for the store than it can take before the user would give up.
   if (state_.backlog() > net::ms(settings_.report_s / 3)) return answer(later("busy"));
-  Json record = leader::Controller::open_record(job, runtime_.wall());
+  accept(id, leader::Controller::open_record(job, runtime_.wall()), true,
+         [answer](const rpc::Answer& a) {
+           if (a.verdict != rpc::Verdict::known) return answer(later("state not available"));
+           answer({a.fresh ? 201 : 200, wire::accepted_json(a.status), 0});
+         });
+}
+
+void Desk::accept(const std::string& id, const Json& record, bool forward, Reply reply) {
+  const auto elsewhere = [this, id, forward, reply](const std::string& text) {
+    if (!forward || election_.leading()) return reply({});
+    ask_leader({0, id, false, text}, net::ms(settings_.report_s / 5), reply);
+  };
+  if (forward && state_.seems_down() && !election_.leading()) return elsewhere(record.dump());
   state::Txn txn;
   txn.conditions = {{leader::open_key(id), 0}, {leader::ends_key(id), 0}};
   txn.changes.push_back({leader::open_key(id), record, 0});
   state_.txn(std::move(txn), state::Urgency::verdict,
-             [this, id, record = std::move(record), answer](const state::TxnResult& t) {
-               if (t.outcome == Outcome::conflict) return current(id, true, answer);
-               if (t.outcome != Outcome::ok) return answer(later("state not available"));
-               wire::JobStatus status;
-               status.id = id;
-               answer({201, wire::accepted_json(status), 0});
+             [this, id, record, elsewhere, reply](const state::TxnResult& t) {
+               if (t.outcome == Outcome::conflict) return status(id, reply);
+               // Not known, or not done: the transaction can be tried again from anywhere.
+               if (t.outcome != Outcome::ok) return elsewhere(record.dump());
+               rpc::Answer a;
+               a.verdict = rpc::Verdict::known;
+               a.status.id = id;
+               a.fresh = true;
+               reply(a);
                if (election_.leading())
                  controller_.accepted(id, record, t.revision);
                else if (!election_.leader().empty())
@@ -134,28 +149,38 @@
              });
 }
 
-void Desk::current(const std::string& id, bool known_accepted, const Answer& answer) {
-  const auto tell = [answer, known_accepted](const wire::JobStatus& s) {
-    answer({200, known_accepted ? wire::accepted_json(s) : wire::to_json(s), 0});
-  };
-  if (const auto v = archive_.verdict(id)) return tell(*v);
-  ask_leader(id, false, net::ms(settings_.report_s / 5),
-             [this, id, answer, tell](const rpc::Answer& a) {
-               if (a.verdict == rpc::Verdict::known) return tell(a.status);
-               if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
-               archive_.read(id, [answer, tell](Archive::Found found, const wire::JobStatus& status,
-                                                const state::Item&) {
-                 if (found == Archive::Found::cannot) return answer(later("state not available"));
-                 if (found == Archive::Found::none) return answer(refusal(404, "no such job"));
-                 tell(status);
+void Desk::status(const std::string& id, Reply reply) {
+  rpc::Answer known;
+  known.verdict = rpc::Verdict::known;
+  if (const auto v = archive_.verdict(id)) {
+    known.status = *v;
+    return reply(known);
+  }
+  ask_leader({0, id, false, ""}, net::ms(settings_.report_s / 5),
+             [this, id, known, reply](const rpc::Answer& a) {
+               if (a.verdict != rpc::Verdict::cannot) return reply(a);
+               archive_.read(id, [known, reply](Archive::Found found, const wire::JobStatus& s,
+                                                const state::Item&) mutable {
+                 known.status = s;
+                 if (found == Archive::Found::none) known.verdict = rpc::Verdict::unknown;
+                 if (found == Archive::Found::cannot) known.verdict = rpc::Verdict::cannot;
+                 reply(known);
                });
              });
 }
 
+void Desk::current(const std::string& id, const Answer& answer) {
+  status(id, [answer](const rpc::Answer& a) {
+    if (a.verdict == rpc::Verdict::cannot) return answer(later("state not available"));
+    if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
+    answer({200, wire::to_json(a.status), 0});
+  });
+}
+
 void Desk::cancel(const std::string& id, const Answer& answer) {
   if (const auto v = archive_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
   // Only the leader ends jobs, so that none of its answers can be older than the verdict.
-  ask_leader(id, true, net::ms(settings_.report_s), [answer](const rpc::Answer& a) {
+  ask_leader({0, id, true, ""}, net::ms(settings_.report_s), [answer](const rpc::Answer& a) {
     if (a.verdict == rpc::Verdict::cannot) return answer(later("no leader can answer"));
     if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
     if (a.status.stage != wire::Stage::cancelled && a.status.stage != wire::Stage::done)
@@ -174,13 +199,13 @@
   }
 }
 
-void Desk::ask_leader(const std::string& id, bool cancel, Ms timeout, Reply reply) {
-  if (election_.leading()) return controller_.ask(id, cancel, std::move(reply));
+void Desk::ask_leader(rpc::Ask ask, Ms timeout, Reply reply) {
+  if (election_.leading()) return controller_.ask(ask.id, ask.cancel, std::move(reply));
   const std::string node = election_.leader();
   if (node.empty() || asks_.size() >= kMaxAsks) return reply({});
-  const std::uint64_t number = next_++;
+  const std::uint64_t number = ask.number = next_++;
   Waiting& w = asks_[number];
-  w.id = id;
+  w.id = ask.id;
   w.node = node;
   w.reply = std::move(reply);
   w.timer = runtime_.after(timeout, [this, number] {
@@ -191,7 +216,7 @@
     peers_.reset(late.node);
     late.reply({});
   });
-  peers_.send(node, rpc::Ask{number, id, cancel});
+  peers_.send(node, ask);
 }
 
 void Desk::receive(const std::string& from, const rpc::Message& message) {
@@ -206,7 +231,14 @@
       peers_.send(from, a);
     };
     if (!election_.leading()) return reply({});
+    if (!ask->record.empty()) {
+      const Json record = Json::parse(ask->record, nullptr, false);
+      if (record.is_discarded()) return reply({});
+      return accept(ask->id, record, false, reply);
+    }
     controller_.ask(ask->id, ask->cancel, reply);
+  } else if (const auto* leads = std::get_if<rpc::Leads>(&message)) {
+    election_.hear(from, leads->warrant);
   } else if (const auto* answer = std::get_if<rpc::Answer>(&message)) {
     const auto it = asks_.find(answer->number);
     if (it == asks_.end() || it->second.node != from) return;
--- a/src/jobs/desk.h
+++ b/src/jobs/desk.h
@@ -30,13 +30,17 @@
   using Reply = std::function<void(const rpc::Answer&)>;
 
   void submit(const net::Request& request, const net::Answer& answer);
+  // Writes the job, here or (where the store does not answer this node) through the leader.
+  void accept(const std::string& id, const wire::Json& record, bool forward, Reply reply);
   // Empty if the job could run; else why it never can.
   std::string impossible(const wire::Job& job) const;
-  void current(const std::string& id, bool known_accepted, const net::Answer& answer);
+  // What is known of a job: the cache, else the leader, else the store.
+  void status(const std::string& id, Reply reply);
+  void current(const std::string& id, const net::Answer& answer);
   void cancel(const std::string& id, const net::Answer& answer);
   void checkin(const net::Request& request, const net::Answer& answer);
   // Asks the leader, this node or another.
-  void ask_leader(const std::string& id, bool cancel, net::Ms timeout, Reply reply);
+  void ask_leader(rpc::Ask ask, net::Ms timeout, Reply reply);
 
   net::Runtime& runtime_;
   state::Client& state_;
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -1,18 +1,21 @@
 #include "leader/election.h"
 
+#include <algorithm>
+
 namespace seampass::leader {
 
 using state::Outcome;
 
 Election::Election(net::Runtime& runtime, state::Client& state, std::string node,
                    ElectionTimes times, std::function<void()> elected,
-                   std::function<void()> deposed)
+                   std::function<void()> deposed, std::function<void()> announce)
     : runtime_(runtime),
       state_(state),
       node_(std::move(node)),
       times_(times),
       elected_(std::move(elected)),
-      deposed_(std::move(deposed)) {}
+      deposed_(std::move(deposed)),
+      announce_(std::move(announce)) {}
 
 void Election::start() { read(); }
 
@@ -55,6 +58,7 @@
         }
         leader_ = who;
         seen_ = r.item.version;
+        heard_ = std::max(heard_, r.item.version);  // what is older is old news
         watch();
       },
       state::Urgency::lease);
@@ -70,6 +74,7 @@
     for (const auto& e : r.events) {
       if (e.key != kKey) continue;
       vacant = !e.value;
+      if (e.value) heard_ = std::max(heard_, e.version);
       leader_ = e.value && e.value->is_object() ? e.value->value("node", "") : "";
     }
     seen_ = r.revision;
@@ -109,7 +114,9 @@
   runtime_.after(times_.ttl / 4, [this, term] {
     if (term == term_) renew();
   });
+  heard_ = warrant;
   elected_();
+  announce_();
 }
 
 void Election::renew() {
@@ -118,7 +125,10 @@
   state_.renew(lease_, [this, term, sent](Outcome o) {
     if (term != term_) return;
     if (o == Outcome::missing) return lost();
-    if (o == Outcome::ok && sent > granted_) granted_ = sent;
+    if (o == Outcome::ok) {
+      granted_ = std::max(granted_, sent);
+      announce_();
+    }
     const net::Ms pause = o == Outcome::ok ? times_.ttl / 4 : times_.ttl / 8;
     runtime_.after(pause, [this, term] {
       if (term == term_) renew();
@@ -126,6 +136,15 @@
   });
 }
 
+// A leader that the state service has stopped answering would go on telling workers to stay until
+// its grace is over, while the next one waits for them.
+void Election::hear(const std::string& node, std::uint64_t warrant) {
+  if (warrant <= heard_) return;
+  heard_ = warrant;
+  if (leading_) lost();
+  leader_ = node;
+}
+
 void Election::lost() {
   if (!leading_) return;
   leading_ = false;
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -21,7 +21,8 @@
 class Election {
  public:
   Election(net::Runtime& runtime, state::Client& state, std::string node, ElectionTimes times,
-           std::function<void()> elected, std::function<void()> deposed);
+           std::function<void()> elected, std::function<void()> deposed,
+           std::function<void()> announce);
 
   void start();
 
@@ -35,6 +36,8 @@
   const std::string& leader() const { return leader_; }
   // Somebody learned that another has taken over.
   void lost();
+  // Another node says that it leads, with this warrant.
+  void hear(const std::string& node, std::uint64_t warrant);
 
   static constexpr const char* kKey = "leader";
 
@@ -50,11 +53,12 @@
   state::Client& state_;
   std::string node_;
   ElectionTimes times_;
-  std::function<void()> elected_, deposed_;
+  std::function<void()> elected_, deposed_, announce_;
 
   bool leading_ = false;
   std::string leader_;
   std::uint64_t lease_ = 0, warrant_ = 0;
+  std::uint64_t heard_ = 0;  // the highest warrant that anybody is known to have led with
   state::Version seen_ = 0;
   net::Ms granted_ = 0;
   std::uint64_t term_ = 0;  // answers meant for an earlier term are dropped
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -9,6 +9,7 @@
     accepted @0 :Accepted;
     ask @1 :Ask;
     answer @2 :Answer;
+    leads @3 :Leads;
   }
 }
 
@@ -19,11 +20,17 @@
   version @2 :UInt64;
 }
 
-# A user's poll or cancellation, sent to the leader.
+# The sender leads. A node that the state service does not answer learns it from here alone.
+struct Leads {
+  warrant @0 :UInt64;
+}
+
+# A user's poll or cancellation, or (with a record) a submission that the sender could not write.
 struct Ask {
   number @0 :UInt64;
   id @1 :Text;
   cancel @2 :Bool;
+  record @3 :Text;
 }
 
 struct Answer {
@@ -32,6 +39,7 @@
   stage @2 :UInt8;
   done @3 :UInt64;
   running @4 :UInt64;
+  fresh @5 :Bool;  # the submission made the job
 
   enum Verdict {
     cannot @0;   # does not lead, or can't tell now
--- a/src/rpc/peer.h
+++ b/src/rpc/peer.h
@@ -19,6 +19,7 @@
   std::uint64_t number = 0;
   std::string id;
   bool cancel = false;
+  std::string record;  // not empty: accept this job
 };
 
 enum class Verdict { cannot, known, unknown };
@@ -27,9 +28,14 @@
   std::uint64_t number = 0;
   Verdict verdict = Verdict::cannot;
   wire::JobStatus status;
+  bool fresh = false;
 };
 
-using Message = std::variant<Accepted, Ask, Answer>;
+struct Leads {
+  std::uint64_t warrant = 0;
+};
+
+using Message = std::variant<Accepted, Ask, Answer, Leads>;
 using Receive = std::function<void(const std::string& from, const Message&)>;
 
 class PeerTransport {
--- a/src/rpc/peer_link.cc
+++ b/src/rpc/peer_link.cc
@@ -43,6 +43,7 @@
     m.setNumber(q->number);
     m.setId(q->id);
     m.setCancel(q->cancel);
+    m.setRecord(q->record);
   } else if (const auto* r = std::get_if<Answer>(&message)) {
     auto m = envelope.initAnswer();
     m.setNumber(r->number);
@@ -50,6 +51,9 @@
     m.setStage(static_cast<std::uint8_t>(r->status.stage));
     m.setDone(r->status.done);
     m.setRunning(r->status.running);
+    m.setFresh(r->fresh);
+  } else if (const auto* l = std::get_if<Leads>(&message)) {
+    envelope.initLeads().setWarrant(l->warrant);
   }
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
@@ -71,7 +75,7 @@
       }
       case schema::Envelope::ASK: {
         const auto m = envelope.getAsk();
-        return Ask{m.getNumber(), m.getId(), m.getCancel()};
+        return Ask{m.getNumber(), m.getId(), m.getCancel(), m.getRecord()};
       }
       case schema::Envelope::ANSWER: {
         const auto m = envelope.getAnswer();
@@ -85,8 +89,11 @@
         a.status.stage = static_cast<wire::Stage>(m.getStage());
         a.status.done = m.getDone();
         a.status.running = m.getRunning();
+        a.fresh = m.getFresh();
         return a;
       }
+      case schema::Envelope::LEADS:
+        return Leads{envelope.getLeads().getWarrant()};
     }
   } catch (const kj::Exception& e) {
     throw std::runtime_error(std::string("bad peer message: ") + e.getDescription().cStr());
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -161,6 +161,31 @@
   w.expect_rules();
 }
 
+// The state service refuses one node alone, for longer than its grace: the leader.
+TEST(Cluster, LeaderThatTheStoreRefusesMakesWayAtOnce) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 4, 60));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  const std::string old = w.leader();
+  w.net.set_rule([old](const std::string& from, const net::Call& c) {
+    Fate f;
+    if (from == old && c.endpoint == "state:1") f.status = 503;
+    return f;
+  });
+  w.time.run_for(9000);
+  ASSERT_NE(w.leader(), "");
+  ASSERT_NE(w.leader(), old);
+  // Workers follow at once, new work starts, and the refused node still takes and answers.
+  EXPECT_EQ(w.submit(old, array_job("wk-2", 3, 5)).status, 201);
+  EXPECT_EQ(w.submit(old, array_job("wk-2", 3, 5)).status, 200);
+  EXPECT_TRUE(w.reaches("wk-2", "done", 20000));
+  EXPECT_EQ(w.poll(old, "wk-2").stage(), "done");
+  EXPECT_TRUE(w.reaches("wk-1", "done", 90000));
+  for (const auto& [task, n] : w.judge.starts) EXPECT_EQ(n, 1) << task.job;
+  w.expect_rules();
+}
+
 TEST(Cluster, LateAndRepeatedStartsDoNotRunTwice) {
   World w;
   ASSERT_TRUE(w.settle());
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -14,7 +14,7 @@
   a.status.stage = wire::Stage::running;
   a.status.done = 3;
   a.status.running = 1ull << 40;
-  return {Accepted{"wk-1", R"({"job":{}})", 77}, Ask{12, "wk-2", true}, a};
+  return {Accepted{"wk-1", R"({"job":{}})", 77}, Ask{12, "wk-2", true, "{}"}, a, Leads{5}};
 }
 
 TEST(Rpc, MessagesComeBackAsTheyWent) {
@@ -30,6 +30,8 @@
   const auto ask = std::get<Ask>(back(list[1]));
   EXPECT_EQ(ask.number, 12u);
   EXPECT_TRUE(ask.cancel);
+  EXPECT_EQ(ask.record, "{}");
+  EXPECT_EQ(std::get<Leads>(back(list[3])).warrant, 5u);
   const auto answer = std::get<Answer>(back(list[2]));
   EXPECT_EQ(answer.verdict, Verdict::known);
   EXPECT_EQ(answer.status.stage, wire::Stage::running);
--- a/tests/standins/sim.h
+++ b/tests/standins/sim.h
@@ -74,6 +74,7 @@
 // long.
 struct Fate {
   bool refuse = false;       // certainly not sent
+  int status = 0;            // not 0: answered with this, not executed
   bool lose_answer = false;  // executed, but the answer never comes
   std::optional<Ms> late;
 };
@@ -108,6 +109,12 @@
       });
       return;
     }
+    if (fate.status != 0) {
+      time_.after(latency(), [alive, done, status = fate.status] {
+        if (*alive) done({net::Reply::Fate::answered, status, "{}"});
+      });
+      return;
+    }
     const auto answered = std::make_shared<bool>(false);
     time_.after(call.timeout, [alive, done, answered] {
       if (*answered || !*alive) return;
