--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -246,6 +246,7 @@
     aim->second.latest = job->spec;
     aim->second.recent.emplace_back(runtime_.now() - age, job->spec.tasks);
   }
+  spdlog::debug("queued {} of {}, {} tasks", id, job->spec.klass, job->spec.tasks);
   jobs_.emplace(id, std::move(job));
   kick();
 }
@@ -378,6 +379,7 @@
   if (c.state != TaskState::running) return;
   ++c.job->running;
   if (c.running_since == 0) c.running_since = runtime_.now();
+  if (c.job->running == c.job->spec.tasks) spdlog::debug("all of {} run", c.job->spec.id);
 }
 
 void Controller::release(Charge& c) {
