--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -762,7 +762,7 @@
       v.free -= need_of(spec);
       // Only what saves, runs, and is not being stopped already.
       if (!c->job->gang() && spec.checkpoint_s > 0 && c->state == TaskState::running && !c->stop)
-        v.victims.push_back({spec.id, c->task, spec.priority, need_of(spec), spec.save_s});
+        v.victims.push_back({spec.id, c->task, spec.priority, need_of(spec)});
       if (spec.kind == wire::JobKind::service) continue;
       // The owner's estimate, often wrong: what has outlived it may take some more.
       const double run_s =
@@ -774,7 +774,6 @@
     v.open = m.up && !m.draining && !m.taken_at && m.strangers == 0 && now >= m.suspect_until &&
              now - m.heard < net::ms(settings_.lease_s) / 3;
     v.booting = !m.up && m.charges.empty() && now - m.since < net::ms(2 * type->boot_s);
-    v.fetch_gb_per_s = type->fetch_gb_per_s;
     v.images = m.images;
     if (now < m.claimed_until && jobs_.count(m.claimed_by) != 0) v.claimed_by = m.claimed_by;
     index[name] = p.machines.size();
@@ -826,10 +825,7 @@
     v.spot = job->spec.spot;
     v.image = job->spec.image;
     v.patience_s = patience_s(*job);
-    v.image_gb = job->spec.image_gb;
-    const auto aim = arrivals_.find(job->spec.klass);
-    v.urgent = aim != arrivals_.end();
-    if (v.urgent) v.aim_left_s = std::max(0.0, aim->second.within_s - age_s(*job));
+    v.urgent = arrivals_.count(job->spec.klass) != 0;
     v.tasks = job->spec.tasks;
     for (const auto& [task, c] : job->charges) ++v.placed[c.machine->zone];
     v.blocked = now < job->retry_at;
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -92,67 +92,6 @@
   out.starts.push_back({j, std::move(placed)});
 }
 
-// Preemption: room is cleared for an urgent job, a machine for each task it lacks, where the fewest
-// tasks of lower priority must stop. It starts there by a later pass, like any other; until then
-// nobody else takes that room. True if all it lacks is being cleared; with `whole`, nothing is
-// cleared short of that, and only where the image is cached.
-bool clear_room(Picture& p, std::size_t j, bool whole, Decisions& out) {
-  const JobView& job = p.jobs[j];
-  auto lacks = static_cast<std::uint32_t>(job.pending.size() - job.held.size());
-  if (lacks > p.teams[job.team].allows(job.need)) return false;
-  for (const MachineView& m : p.machines) lacks -= m.claimed_by == job.id && lacks > 0 ? 1 : 0;
-  Zones placed = job.placed;
-  for (const Placement& x : job.held) ++placed[p.machines[x.machine].zone];
-  std::vector<Eviction> chosen;
-  while (lacks > 0) {
-    Eviction best;
-    std::pair<bool, std::size_t> best_cost;
-    for (std::size_t i = 0; i < p.machines.size(); ++i) {
-      const MachineView& m = p.machines[i];
-      const bool cached = m.images.count(job.image) != 0;
-      if (!m.open || !m.claimed_by.empty() || !allowed(job, m.type, m.zone, m.spot)) continue;
-      if (!zone_allows(job, placed, m.zone) || job.avoid.count(i) != 0) continue;
-      if (whole && !cached) continue;
-      Eviction e{i, j, {}};
-      Need room = m.free;
-      for (const Victim& v : m.victims) {
-        if (job.need.fits_in(room)) break;
-        if (v.priority <= job.priority || (whole && v.save_s >= job.aim_left_s)) continue;
-        room += v.need;
-        e.tasks.push_back(v);
-      }
-      if (e.tasks.empty() || !job.need.fits_in(room)) continue;
-      // A fetch takes longer than stopping one task more.
-      const auto cost = std::make_pair(!cached, e.tasks.size());
-      if (best.tasks.empty() || cost < best_cost) {
-        best = std::move(e);
-        best_cost = cost;
-      }
-    }
-    if (best.tasks.empty()) break;
-    p.machines[best.machine].claimed_by = job.id;
-    ++placed[p.machines[best.machine].zone];
-    chosen.push_back(std::move(best));
-    --lacks;
-  }
-  if (whole && lacks > 0) {
-    for (const Eviction& e : chosen) p.machines[e.machine].claimed_by.clear();
-    return false;
-  }
-  for (Eviction& e : chosen) out.evictions.push_back(std::move(e));
-  return lacks == 0;
-}
-
-// Would the job miss its start aim by a fetch on one of these machines, though not without?
-bool too_slow(const Picture& p, const JobView& job, const std::vector<Placement>& places) {
-  if (!job.urgent || job.aim_left_s <= 0) return false;
-  return std::any_of(places.begin(), places.end(), [&](const Placement& x) {
-    const MachineView& m = p.machines[x.machine];
-    return m.images.count(job.image) == 0 && m.fetch_gb_per_s > 0 &&
-           job.image_gb / m.fetch_gb_per_s >= job.aim_left_s;
-  });
-}
-
 // Permit: the gang starts when every task has its place; short of that it waits, holding what it
 // has.
 void place_gang(Picture& p, std::size_t j, Decisions& out) {
@@ -189,7 +128,6 @@
   if (best.empty()) return;
   const bool whole = best.size() == job.pending.size();
   if (!whole && job.whole_only) return;
-  if (whole && too_slow(p, job, best) && clear_room(p, j, true, out)) return;
   for (const Placement& x : best) take(p, job, x.machine);
   if (whole) {
     job.pending.clear();
@@ -200,6 +138,47 @@
   }
 }
 
+// Preemption: an urgent job that found no place has room cleared for it, a machine for each task it
+// lacks, where the fewest tasks of lower priority must stop. It starts there by a later pass, like
+// any other; until then nobody else takes that room.
+void clear_room(Picture& p, std::size_t j, Decisions& out) {
+  const JobView& job = p.jobs[j];
+  std::uint32_t lacks = static_cast<std::uint32_t>(job.pending.size() - job.held.size());
+  if (lacks > p.teams[job.team].allows(job.need)) return;
+  for (const MachineView& m : p.machines) lacks -= m.claimed_by == job.id && lacks > 0 ? 1 : 0;
+  Zones placed = job.placed;
+  for (const Placement& x : job.held) ++placed[p.machines[x.machine].zone];
+  while (lacks > 0) {
+    Eviction best;
+    std::pair<bool, std::size_t> best_cost;
+    for (std::size_t i = 0; i < p.machines.size(); ++i) {
+      const MachineView& m = p.machines[i];
+      if (!m.open || !m.claimed_by.empty() || !allowed(job, m.type, m.zone, m.spot)) continue;
+      if (!zone_allows(job, placed, m.zone) || job.avoid.count(i) != 0) continue;
+      Eviction e{i, j, {}};
+      Need room = m.free;
+      for (const Victim& v : m.victims) {
+        if (job.need.fits_in(room)) break;
+        if (v.priority <= job.priority) continue;
+        room += v.need;
+        e.tasks.push_back(v);
+      }
+      if (e.tasks.empty() || !job.need.fits_in(room)) continue;
+      // A fetch takes longer than stopping one task more.
+      const auto cost = std::make_pair(m.images.count(job.image) == 0, e.tasks.size());
+      if (best.tasks.empty() || cost < best_cost) {
+        best = std::move(e);
+        best_cost = cost;
+      }
+    }
+    if (best.tasks.empty()) return;
+    p.machines[best.machine].claimed_by = job.id;
+    ++placed[p.machines[best.machine].zone];
+    out.evictions.push_back(std::move(best));
+    --lacks;
+  }
+}
+
 }  // namespace
 
 std::uint32_t TeamView::allows(const Need& need) const {
@@ -260,7 +239,7 @@
       place_gang(p, j, out);
     else
       place_singly(p, j, out);
-    if (job.urgent && !job.pending.empty()) clear_room(p, j, false, out);
+    if (job.urgent && !job.pending.empty()) clear_room(p, j, out);
   }
   return out;
 }
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -41,7 +41,6 @@
   std::uint32_t task = 0;
   wire::Priority priority = wire::Priority::normal;
   Need need;
-  double save_s = 0;
 };
 
 struct MachineView {
@@ -53,7 +52,6 @@
   bool booting = false;  // will be open later
   Need total, free;
   double price = 0;  // an hour
-  double fetch_gb_per_s = 0;
   std::set<std::string> images;
   std::vector<std::pair<double, Need>> releases;  // in how many seconds which room comes free
 };
@@ -75,9 +73,7 @@
   std::optional<std::string> zone;
   bool one_zone = false, spread = false, spot = false;
   std::string image;
-  double image_gb = 0;
-  double aim_left_s = 0;  // of its class's start aim; 0 once it is missed
-  bool urgent = false;    // its class has a short start aim: a cached image counts before the price
+  bool urgent = false;  // its class has a short start aim: a cached image counts before the price
   // For how many seconds its start may wait for room that is in use, rather than new machines.
   double patience_s = 0;
   std::uint32_t tasks = 0;
