--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -30,10 +30,10 @@
       archive_(state_, static_cast<std::size_t>(settings_.memory_mb / 8 * 1024 * 1024 / 512)),
       election_(
           runtime, state_, settings_.node, times_of(settings_), [this] { controller_.begin(); },
-          [this] { controller_.stop(); },
-          [this, &peers] {
+          [this] { controller_.stop(); }, settings_.peers.size(),
+          [this, &peers](std::uint64_t round) {
             for (const config::Peer& p : settings_.peers)
-              peers.send(p.node, rpc::Leads{election_.warrant()});
+              peers.send(p.node, rpc::Leads{election_.warrant(), round});
           }),
       controller_(runtime, state_, cloud_, types_,
                   workers::Client(http, ms(settings_.report_s / 3)), election_, archive_, settings_,
--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -239,6 +239,10 @@
     controller_.ask(ask->id, ask->cancel, reply);
   } else if (const auto* leads = std::get_if<rpc::Leads>(&message)) {
     election_.hear(from, leads->warrant);
+    if (leads->round != 0)
+      peers_.send(from, rpc::Word{leads->round, election_.heard(), election_.up()});
+  } else if (const auto* word = std::get_if<rpc::Word>(&message)) {
+    election_.hear_word(from, word->round, word->warrant, word->up_ms);
   } else if (const auto* answer = std::get_if<rpc::Answer>(&message)) {
     const auto it = asks_.find(answer->number);
     if (it == asks_.end() || it->second.node != from) return;
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -8,16 +8,21 @@
 
 Election::Election(net::Runtime& runtime, state::Client& state, std::string node,
                    ElectionTimes times, std::function<void()> elected,
-                   std::function<void()> deposed, std::function<void()> announce)
+                   std::function<void()> deposed, std::size_t peers,
+                   std::function<void(std::uint64_t)> announce)
     : runtime_(runtime),
       state_(state),
       node_(std::move(node)),
       times_(times),
       elected_(std::move(elected)),
       deposed_(std::move(deposed)),
+      peers_(peers),
       announce_(std::move(announce)) {}
 
-void Election::start() { read(); }
+void Election::start() {
+  started_ = runtime_.now();
+  read();
+}
 
 bool Election::holds() const {
   // 0.05% of drift between two steady clocks, doubled.
@@ -25,7 +30,7 @@
 }
 
 bool Election::may_answer() const {
-  return leading_ && (holds() || runtime_.now() < granted_ + times_.grace);
+  return leading_ && (holds() || runtime_.now() < std::max(granted_, vouched_) + times_.grace);
 }
 
 void Election::retry(std::function<void()> what) {
@@ -115,8 +120,9 @@
     if (term == term_) renew();
   });
   heard_ = warrant;
+  vouched_ = 0;
   elected_();
-  announce_();
+  announce_(0);
 }
 
 void Election::renew() {
@@ -127,7 +133,13 @@
     if (o == Outcome::missing) return lost();
     if (o == Outcome::ok) {
       granted_ = std::max(granted_, sent);
-      announce_();
+      announce_(0);
+    } else {
+      // Perhaps the store is down for all. Nobody can have answered a cancellation that we don't
+      // know of unless somebody took over: if none did, the grace counts from now.
+      asked_ = runtime_.now();
+      words_.clear();
+      announce_(++round_);
     }
     const net::Ms pause = o == Outcome::ok ? times_.ttl / 4 : times_.ttl / 8;
     runtime_.after(pause, [this, term] {
@@ -136,6 +148,18 @@
   });
 }
 
+void Election::hear_word(const std::string& node, std::uint64_t round, std::uint64_t warrant,
+                         net::Ms up_ms) {
+  if (!leading_) return;
+  if (warrant > warrant_) return lost();
+  // While our lease surely held nobody else led. A node that has been up ever since remembers
+  // whether it did; one that started later may have forgotten, and its word is worth nothing.
+  // (Its time is taken against the word's arrival, since the asking may have been held up.)
+  if (round != round_ || up_ms - up_ms / 1000 < runtime_.now() - granted_) return;
+  words_.insert(node);
+  if (words_.size() == peers_) vouched_ = std::max(vouched_, asked_);
+}
+
 // A leader that the state service has stopped answering would go on telling workers to stay until
 // its grace is over, while the next one waits for them.
 void Election::hear(const std::string& node, std::uint64_t warrant) {
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 
 #include "net/runtime.h"
@@ -21,8 +22,8 @@
 class Election {
  public:
   Election(net::Runtime& runtime, state::Client& state, std::string node, ElectionTimes times,
-           std::function<void()> elected, std::function<void()> deposed,
-           std::function<void()> announce);
+           std::function<void()> elected, std::function<void()> deposed, std::size_t peers,
+           std::function<void(std::uint64_t round)> announce);
 
   void start();
 
@@ -36,6 +37,12 @@
   const std::string& leader() const { return leader_; }
   // Somebody learned that another has taken over.
   void lost();
+  // What another node knows, in answer to an announcement with a round.
+  void hear_word(const std::string& node, std::uint64_t round, std::uint64_t warrant,
+                 net::Ms up_ms);
+  // The highest warrant that anybody is known to have led with.
+  std::uint64_t heard() const { return heard_; }
+  net::Ms up() const { return runtime_.now() - started_; }
   // Another node says that it leads, with this warrant.
   void hear(const std::string& node, std::uint64_t warrant);
 
@@ -53,12 +60,18 @@
   state::Client& state_;
   std::string node_;
   ElectionTimes times_;
-  std::function<void()> elected_, deposed_, announce_;
+  std::function<void()> elected_, deposed_;
+  std::size_t peers_;
+  std::function<void(std::uint64_t)> announce_;
 
   bool leading_ = false;
   std::string leader_;
   std::uint64_t lease_ = 0, warrant_ = 0;
-  std::uint64_t heard_ = 0;  // the highest warrant that anybody is known to have led with
+  std::uint64_t heard_ = 0;
+  // When every other controller's word was last asked for and given: nobody had taken over by then.
+  net::Ms vouched_ = 0, asked_ = 0, started_ = 0;
+  std::uint64_t round_ = 0;
+  std::set<std::string> words_;
   state::Version seen_ = 0;
   net::Ms granted_ = 0;
   std::uint64_t term_ = 0;  // answers meant for an earlier term are dropped
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -10,6 +10,7 @@
     ask @1 :Ask;
     answer @2 :Answer;
     leads @3 :Leads;
+    word @4 :Word;
   }
 }
 
@@ -23,6 +24,14 @@
 # The sender leads. A node that the state service does not answer learns it from here alone.
 struct Leads {
   warrant @0 :UInt64;
+  round @1 :UInt64;  # not 0: a Word is asked for
+}
+
+# What the sender knows of leaders, and for how long it has been up.
+struct Word {
+  round @0 :UInt64;
+  warrant @1 :UInt64;  # the highest that it knows anybody to have led with
+  upMs @2 :Int64;
 }
 
 # A user's poll or cancellation, or (with a record) a submission that the sender could not write.
--- a/src/rpc/peer.h
+++ b/src/rpc/peer.h
@@ -32,10 +32,15 @@
 };
 
 struct Leads {
-  std::uint64_t warrant = 0;
+  std::uint64_t warrant = 0, round = 0;
 };
 
-using Message = std::variant<Accepted, Ask, Answer, Leads>;
+struct Word {
+  std::uint64_t round = 0, warrant = 0;
+  std::int64_t up_ms = 0;
+};
+
+using Message = std::variant<Accepted, Ask, Answer, Leads, Word>;
 using Receive = std::function<void(const std::string& from, const Message&)>;
 
 class PeerTransport {
--- a/src/rpc/peer_link.cc
+++ b/src/rpc/peer_link.cc
@@ -53,7 +53,14 @@
     m.setRunning(r->status.running);
     m.setFresh(r->fresh);
   } else if (const auto* l = std::get_if<Leads>(&message)) {
-    envelope.initLeads().setWarrant(l->warrant);
+    auto m = envelope.initLeads();
+    m.setWarrant(l->warrant);
+    m.setRound(l->round);
+  } else if (const auto* w = std::get_if<Word>(&message)) {
+    auto m = envelope.initWord();
+    m.setRound(w->round);
+    m.setWarrant(w->warrant);
+    m.setUpMs(w->up_ms);
   }
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
@@ -93,7 +100,11 @@
         return a;
       }
       case schema::Envelope::LEADS:
-        return Leads{envelope.getLeads().getWarrant()};
+        return Leads{envelope.getLeads().getWarrant(), envelope.getLeads().getRound()};
+      case schema::Envelope::WORD: {
+        const auto m = envelope.getWord();
+        return Word{m.getRound(), m.getWarrant(), m.getUpMs()};
+      }
     }
   } catch (const kj::Exception& e) {
     throw std::runtime_error(std::string("bad peer message: ") + e.getDescription().cStr());
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -132,6 +132,39 @@
   w.expect_rules();
 }
 
+TEST(Cluster, LongOutageOfTheStoreLosesNoWorkWhileAllControllersVouch) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 6, 100));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  w.state.down = true;
+  w.time.run_for(70000);  // far beyond lease_s and cancel_s
+  w.state.come_back();
+  EXPECT_TRUE(w.reaches("wk-1", "done", 120000));
+  for (const auto& [task, n] : w.judge.starts) EXPECT_EQ(n, 1) << task.index;
+  w.expect_rules();
+}
+
+// A controller that started after the leader's last renewal may have led and forgotten it: its word
+// does not count, and leases run out as they would without it.
+TEST(Cluster, WordOfARestartedControllerDoesNotCount) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 6, 100));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  w.state.down = true;
+  w.time.run_for(2000);
+  const std::string other = w.follower();
+  w.kill(other);
+  w.time.run_for(1000);
+  w.start(other);
+  w.time.run_for(60000);
+  EXPECT_TRUE(w.judge.on.empty());
+  w.state.come_back();
+  EXPECT_TRUE(w.reaches("wk-1", "done", 300000));
+  w.expect_rules();
+}
+
 TEST(Cluster, CutOffLeaderIsReplacedAndItsWorkIsNotRunTwice) {
   World w;
   ASSERT_TRUE(w.settle());
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -14,7 +14,8 @@
   a.status.stage = wire::Stage::running;
   a.status.done = 3;
   a.status.running = 1ull << 40;
-  return {Accepted{"wk-1", R"({"job":{}})", 77}, Ask{12, "wk-2", true, "{}"}, a, Leads{5}};
+  return {Accepted{"wk-1", R"({"job":{}})", 77}, Ask{12, "wk-2", true, "{}"}, a, Leads{5, 6},
+          Word{7, 8, 9}};
 }
 
 TEST(Rpc, MessagesComeBackAsTheyWent) {
@@ -31,7 +32,8 @@
   EXPECT_EQ(ask.number, 12u);
   EXPECT_TRUE(ask.cancel);
   EXPECT_EQ(ask.record, "{}");
-  EXPECT_EQ(std::get<Leads>(back(list[3])).warrant, 5u);
+  EXPECT_EQ(std::get<Leads>(back(list[3])).round, 6u);
+  EXPECT_EQ(std::get<Word>(back(list[4])).up_ms, 9);
   const auto answer = std::get<Answer>(back(list[2]));
   EXPECT_EQ(answer.verdict, Verdict::known);
   EXPECT_EQ(answer.status.stage, wire::Stage::running);
