--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -92,7 +92,8 @@
   try {
     root = toml::parse_file(path);
   } catch (const toml::parse_error& e) {
-    throw BadSettings(path + ": line " + std::to_string(e.source().begin.line) + ": " +
+    const auto line = e.source().begin.line;  // 0: the file could not be read at all
+    throw BadSettings(path + (line > 0 ? ": line " + std::to_string(line) : "") + ": " +
                       std::string(e.description()));
   }
   const Reader r(root, path, "");
