--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -392,7 +392,6 @@
   job.charges.erase(task);
   if (!job.ended) job.taken[task] = job.finished[task];
   job.hint = std::min(job.hint, task);
-  if (job.charges.empty()) job.stopping = false;
   const std::string id = job.spec.id;
   ledger_.changed(id, chunk_of(task), Urgency::progress);
   tidy(id);
@@ -402,7 +401,6 @@
 // A gang's attempt is over for all its tasks once it is for one.
 void Controller::lost_attempt(JobRecord& job) {
   if (!job.gang() || job.ended || job.charges.empty()) return;
-  job.stopping = true;
   stop_all(job, 0);
 }
 
@@ -882,7 +880,7 @@
 }
 
 // How long a start may wait and still meet the first of its class's aims that can be met; at least
-// as long as a new machine would take.
+// half as long as a new machine would take.
 double Controller::patience_s(const JobRecord& job) const {
   const wire::Job& spec = job.spec;
   double boot = 0, fetch = 0;
@@ -1071,7 +1069,6 @@
   }
   send_stops(singles);
   for (JobRecord* job : gangs) {
-    job->stopping = true;
     stop_all(*job, job->spec.save_s + settings_.gang_peer_s);
   }
 }
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -61,7 +61,6 @@
   std::vector<std::pair<std::uint32_t, std::string>> held;
   net::Ms held_since = 0;
   bool whole_only = false;
-  bool stopping = false;  // this attempt is over; the next waits until all of it is off
   // Ends.
   bool ending = false;
   bool ended = false;
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -102,7 +102,7 @@
 
   // How long a request of this urgency would wait for its turn now.
   net::Ms backlog() const;
-  // When the service last answered anything but 503, and last failed to.
+  // The last few requests all failed, or were refused.
   bool seems_down() const { return failures_ >= 3; }
 
  private:
