--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -1,5 +1,7 @@
 // The leading controller: the jobs, what runs where, and the decisions. It acts only between
-// begin() and stop(), which the election calls.
+// begin() and stop(), which the election calls. Its parts, by what they own: controller.cc the jobs
+// and their ends, recovery.cc the take-over, reports.cc charges and workers, planning.cc passes and
+// rentals.
 #pragma once
 
 #include <deque>
@@ -95,13 +97,12 @@
   bool ready() const { return loaded_ && election_.holds(); }
   std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks_; }
 
-  // Recovery.
+  // Recovery: recovery.cc.
   void load(const std::string& prefix, const std::string& after, bool first);
   void take_work(const state::Item& item);
   void watch();
 
   // Jobs.
-  void drop(JobRecord& job);
   void finish_task(JobRecord& job, std::uint32_t task);
   void maybe_done(JobRecord& job);
   void end_job(JobRecord& job, wire::Stage stage);
@@ -110,7 +111,7 @@
   rpc::Answer status_of(const JobRecord& job) const;
   std::optional<wire::Json> render(const std::string& id, std::uint32_t chunk) const;
 
-  // Charges.
+  // Charges: reports.cc.
   Charge& charge(JobRecord& job, std::uint32_t task, std::uint64_t attempt, Machine& machine,
                  std::uint64_t session);
   void release(Charge& charge);
@@ -121,7 +122,7 @@
   void set_state(Charge& charge, wire::TaskState state);
   void machine_gone(Machine& machine);
 
-  // Workers.
+  // Workers: reports.cc.
   void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
   void task_exited(Charge& charge, const wire::TaskReport& task);
   std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
@@ -129,7 +130,7 @@
   void starts_durable(const std::string& id,
                       const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks);
 
-  // Scheduling.
+  // Scheduling: planning.cc.
   void kick();
   void run_pass();
   sched::Picture picture(std::vector<JobRecord*>& jobs);
@@ -155,7 +156,6 @@
   std::uint32_t chunk_tasks_;
 
   bool active_ = false, loaded_ = false, kicked_ = false;
-  int loading_ = 0;
   std::uint64_t term_ = 0;
   net::Ms began_ = 0, last_rental_ = 0;
   state::Version watched_ = 0;
--- /dev/null
+++ b/src/leader/reports.cc
@@ -0,0 +1,372 @@
+// The Controller's charges: what is on which machine, what its worker reports, and what it is told.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "leader/controller.h"
+
+namespace seampass::leader {
+
+using net::Ms;
+using sched::need_of;
+using state::Urgency;
+using wire::ExitCause;
+using wire::TaskState;
+using wire::Verb;
+
+Charge& Controller::charge(JobRecord& job, std::uint32_t task, std::uint64_t attempt,
+                           Machine& machine, std::uint64_t session) {
+  Charge& c = job.charges[task];
+  c.job = &job;
+  c.task = task;
+  c.attempt = attempt;
+  c.machine = &machine;
+  c.session = session;
+  job.taken[task] = true;
+  machine.charges[{job.spec.id, task}] = &c;
+  team_use_[job.spec.team] += need_of(job.spec);
+  return c;
+}
+
+void Controller::set_state(Charge& c, TaskState state) {
+  if (c.state == TaskState::running) --c.job->running;
+  c.state = state;
+  if (c.state != TaskState::running) return;
+  ++c.job->running;
+  if (c.running_since == 0) c.running_since = runtime_.now();
+  if (c.job->running == c.job->spec.tasks) spdlog::debug("all of {} run", c.job->spec.id);
+}
+
+void Controller::release(Charge& c) {
+  JobRecord& job = *c.job;
+  const std::uint32_t task = c.task;
+  set_state(c, TaskState::exited);
+  c.machine->charges.erase({job.spec.id, task});
+  c.machine->idle_since = runtime_.now();
+  team_use_[job.spec.team] -= need_of(job.spec);
+  job.charges.erase(task);
+  if (!job.ended) job.taken[task] = job.finished[task];
+  job.hint = std::min(job.hint, task);
+  const std::string id = job.spec.id;
+  ledger_.changed(id, chunk_of(task), Urgency::progress);
+  tidy(id);
+  kick();
+}
+
+// A gang's attempt is over for all its tasks once it is for one.
+void Controller::lost_attempt(JobRecord& job) {
+  if (!job.gang() || job.ended || job.charges.empty()) return;
+  stop_all(job, 0);
+}
+
+void Controller::stop_charge(Charge& c, double grace_s) {
+  if (c.stop) return;
+  c.stop = true;
+  c.grace_s = grace_s;
+  c.stop_since = runtime_.now();
+}
+
+void Controller::stop_all(JobRecord& job, double grace_s) {
+  std::vector<Charge*> fresh;
+  std::vector<Charge*> unsent;
+  for (auto& [task, c] : job.charges) {
+    if (c.stop) continue;
+    stop_charge(c, grace_s);
+    (c.sent ? fresh : unsent).push_back(&c);
+  }
+  send_stops(fresh);
+  // Never told to any worker: off already.
+  for (Charge* c : unsent) release(*c);
+}
+
+void Controller::send_stops(const std::vector<Charge*>& charges) {
+  std::map<Machine*, std::vector<wire::Command>> by_machine;
+  for (Charge* c : charges)
+    by_machine[c->machine].push_back(
+        {Verb::stop, c->job->spec.id, c->task, c->attempt, c->grace_s});
+  for (auto& [machine, commands] : by_machine) send(*machine, std::move(commands));
+}
+
+void Controller::machine_gone(Machine& machine) {
+  std::vector<Charge*> list;
+  for (const auto& [key, c] : machine.charges) list.push_back(c);
+  std::set<std::string> gangs;
+  for (Charge* c : list) {
+    if (c->job->gang()) gangs.insert(c->job->spec.id);
+    release(*c);
+  }
+  for (const std::string& id : gangs) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) lost_attempt(*it->second);
+  }
+}
+
+// ---- Workers ----
+
+CheckinAnswer Controller::checkin(const wire::WorkerReport& report) {
+  if (!active_ || !election_.may_answer()) return {503, "{}"};
+  if (report.token > election_.warrant()) {  // another leads already
+    election_.lost();
+    return {503, "{}"};
+  }
+  if (fleet_.deleted(report.machine)) return {503, "{}"};  // only late reports come from it
+  Machine& m = fleet_.ensure(report.machine);
+  if (m.type.empty() || m.addr.empty()) {
+    m.addr = report.addr;
+    m.type = report.type;
+    m.zone = report.zone;
+    m.spot = report.spot;
+  }
+  if (report.session < m.session) return {503, "{}"};
+  // A task that was told to stop for a cancellation while a start of it may still come: let the
+  // lease run out, which makes the start void, before cancel_s does.
+  const Ms patience = net::ms((settings_.cancel_s - settings_.lease_s) / 2);
+  if (report.session == m.session)
+    for (const auto& [key, c] : m.charges)
+      if (c->job->ended && c->stop && !c->seen && runtime_.now() - c->stop_since > patience &&
+          m.lost.count({c->job->spec.id, c->task, c->attempt}) != 0)
+        return {503, "{}"};
+  const bool newer = report.session > m.session || report.seq > m.seq;
+  m.heard = runtime_.now();
+  if (!loaded_ || !newer) return {200, wire::checkin_answer(election_.warrant(), {})};
+  take_report(m, report, true);
+  return {200, wire::checkin_answer(election_.warrant(), orders_for(m, report))};
+}
+
+void Controller::take_report(Machine& m, const wire::WorkerReport& report, bool checkin) {
+  const bool newer =
+      report.session > m.session || (report.session == m.session && report.seq > m.seq);
+  if (!newer) return;
+  if (report.session > m.session) m.lost.clear();
+  m.session = report.session;
+  m.seq = report.seq;
+  m.token = report.token;
+  if (!m.up) {
+    m.up = true;
+    m.idle_since = runtime_.now();
+    kick();
+  }
+  if (report.notice_s) {
+    m.taken_at = runtime_.now() + net::ms(*report.notice_s);
+  } else {
+    m.taken_at.reset();
+  }
+  std::vector<Charge*> absent;
+  std::set<std::pair<std::string, std::uint32_t>> present;
+  std::vector<std::pair<Charge*, wire::TaskReport>> exits;
+  m.strangers = 0;
+  m.exited.clear();
+  for (const wire::TaskReport& t : report.tasks) {
+    if (t.state == TaskState::exited) m.exited.insert({t.job, t.index, t.attempt});
+    const auto it = m.charges.find({t.job, t.index});
+    Charge* c = it == m.charges.end() ? nullptr : it->second;
+    if (c && c->attempt != t.attempt) c = nullptr;
+    if (!c && t.state != TaskState::exited) {
+      // Nothing should be here. If the job is open and the task free, it is charged again, so that
+      // it is started nowhere else; in any case the machine takes nothing until it is settled.
+      const auto j = jobs_.find(t.job);
+      if (j != jobs_.end() && t.index < j->second->spec.tasks &&
+          j->second->charges.count(t.index) == 0) {
+        JobRecord& job = *j->second;
+        c = &charge(job, t.index, t.attempt, m, m.session);
+        c->durable = c->sent = true;
+        job.last_attempt = std::max(job.last_attempt, t.attempt);
+        ledger_.changed(t.job, chunk_of(t.index), Urgency::assignment);
+        if (job.ended || job.finished[t.index] || job.gang()) stop_charge(*c, 0);
+      } else {
+        ++m.strangers;
+      }
+    }
+    if (!c) continue;
+    present.insert({t.job, t.index});
+    c->seen = true;
+    const auto& image = c->job->spec.image;
+    if (t.state == TaskState::exited) {
+      exits.emplace_back(c, t);
+    } else {
+      if (t.state != TaskState::fetching) m.images.insert(image);
+      set_state(*c, t.state);
+    }
+  }
+  for (const auto& [key, c] : m.charges) {
+    if (present.count(key) != 0) continue;
+    if (m.session > c->session) {
+      absent.push_back(c);  // its session is over, and all that was on it
+    } else if (checkin && c->in_flight == 0 && c->sent && m.token >= election_.warrant()) {
+      // A check-in after the start was answered (or given up) lacks it. A start that may still
+      // come late keeps its charge.
+      const bool late = m.lost.count({c->job->spec.id, c->task, c->attempt}) != 0;
+      if (c->seen || (c->stop && !late)) absent.push_back(c);
+      if (c->stop && late) m.draining = true;
+    }
+  }
+  // Releasing can end jobs and move others, so what follows goes by name.
+  std::set<std::string> touched;
+  for (auto& [c, t] : exits) {
+    touched.insert(t.job);
+    task_exited(*c, t);
+  }
+  for (Charge* c : absent) {
+    touched.insert(c->job->spec.id);
+    const std::string id = c->job->spec.id;
+    release(*c);
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) lost_attempt(*it->second);
+  }
+  for (const std::string& id : touched) {
+    const auto it = jobs_.find(id);
+    if (it != jobs_.end()) maybe_done(*it->second);
+  }
+  if (m.draining && m.charges.empty() && !m.deleting) fleet_.remove(m);
+}
+
+void Controller::task_exited(Charge& c, const wire::TaskReport& t) {
+  JobRecord& job = *c.job;
+  Machine& m = *c.machine;
+  const Ms now = runtime_.now();
+  const Ms report = net::ms(settings_.report_s);
+  const bool gang = job.gang();
+  const bool told = c.stop;
+  if (t.cause == ExitCause::done) {
+    m.images.insert(job.spec.image);
+    m.errors = 0;
+    job.failures = 0;
+    if (job.spec.kind != wire::JobKind::service) {
+      if (gang) {
+        // They complete together: one that is done says so of all.
+        for (std::uint32_t i = 0; i < job.spec.tasks; ++i) finish_task(job, i);
+      } else {
+        finish_task(job, c.task);
+      }
+    }
+    maybe_done(job);
+    release(c);
+    return;
+  }
+  switch (t.cause) {
+    case ExitCause::error:
+      ++job.failures;
+      ++m.errors;
+      // The machine is the likelier culprit, unless the job fails elsewhere as well.
+      m.suspect_until = now + net::ms(settings_.lease_s);
+      job.retry_at = now + report * (1 << std::min(job.failures, 5));
+      if (m.errors >= 3) m.draining = true;
+      break;
+    case ExitCause::unknown:
+    case ExitCause::busy:
+      job.retry_at = now + report;
+      break;
+    case ExitCause::no_room:
+      m.suspect_until = now + report;
+      break;
+    default:
+      break;
+  }
+  spdlog::debug("{}/{} try {} on {} ended, cause {} told {}", job.spec.id, c.task, c.attempt,
+                m.name, static_cast<int>(t.cause), told);
+  const std::string id = job.spec.id;
+  release(c);
+  const auto it = jobs_.find(id);
+  if (gang && it != jobs_.end()) lost_attempt(*it->second);
+}
+
+std::vector<wire::Command> Controller::orders_for(Machine& m, const wire::WorkerReport& report) {
+  std::vector<wire::Command> orders;
+  std::set<std::pair<std::string, std::uint32_t>> present;
+  const Ms now = runtime_.now();
+  for (const wire::TaskReport& t : report.tasks) {
+    const auto it = m.charges.find({t.job, t.index});
+    const Charge* c =
+        it == m.charges.end() || it->second->attempt != t.attempt ? nullptr : it->second;
+    if (t.state == TaskState::exited) {
+      // Forgotten only after the record of its end is durable, and never while a copy of its
+      // start may still come: that would run it again.
+      if (!c && ledger_.settled(t.job, chunk_of(t.index)) &&
+          m.lost.count({t.job, t.index, t.attempt}) == 0)
+        orders.push_back({Verb::forget, t.job, t.index, t.attempt, 0});
+      continue;
+    }
+    if (!c) {
+      orders.push_back({Verb::stop, t.job, t.index, t.attempt, 0});
+      continue;
+    }
+    present.insert({t.job, t.index});
+    if (c->stop) {
+      const bool overdue = now - c->stop_since > net::ms(c->grace_s + 2 * settings_.gang_peer_s);
+      orders.push_back({Verb::stop, t.job, t.index, t.attempt, overdue ? 0 : c->grace_s});
+    }
+  }
+  if (!election_.holds()) return orders;
+  for (const auto& [key, c] : m.charges) {
+    if (present.count(key) != 0 || !c->durable || c->stop || c->in_flight > 0 || c->seen) continue;
+    if (c->session != m.session || c->job->ending) continue;
+    c->sent = true;
+    orders.push_back({Verb::start, key.first, key.second, c->attempt, 0});
+  }
+  return orders;
+}
+
+void Controller::send(Machine& m, std::vector<wire::Command> commands) {
+  if (m.addr.empty() || !m.up) return;  // the next check-in carries them
+  std::vector<AttemptName> starts;
+  for (const wire::Command& cmd : commands)
+    if (cmd.verb == Verb::start) starts.emplace_back(cmd.job, cmd.index, cmd.attempt);
+  const std::uint64_t term = term_;
+  const std::uint64_t session = m.session;
+  const std::string name = m.name;
+  workers_.send(m.addr, election_.warrant(), session, commands,
+                [this, term, name, session, starts](
+                    workers::Sent sent, const std::optional<wire::WorkerReport>& report) {
+                  if (term != term_) return;
+                  for (const auto& [id, task, attempt] : starts) {
+                    const auto j = jobs_.find(id);
+                    if (j == jobs_.end()) continue;
+                    const auto c = j->second->charges.find(task);
+                    if (c != j->second->charges.end() && c->second.attempt == attempt)
+                      --c->second.in_flight;
+                  }
+                  Machine* machine = fleet_.find(name);
+                  if (!machine) return;
+                  if (sent == workers::Sent::unknown && machine->session == session)
+                    machine->lost.insert(starts.begin(), starts.end());
+                  if (!report || report->machine != name) return;
+                  if (report->token > election_.warrant()) return election_.lost();
+                  take_report(*machine, *report, false);
+                });
+}
+
+void Controller::starts_durable(const std::string& id,
+                                const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks) {
+  const auto j = jobs_.find(id);
+  if (j == jobs_.end()) return;
+  std::map<Machine*, std::vector<wire::Command>> by_machine;
+  std::vector<Charge*> off;
+  for (const auto& [task, attempt] : tasks) {
+    const auto it = j->second->charges.find(task);
+    if (it == j->second->charges.end() || it->second.attempt != attempt) continue;
+    Charge& c = it->second;
+    c.durable = true;
+    if (c.stop || c.sent || j->second->ending || !election_.holds()) continue;
+    if (c.machine->session != c.session) {
+      off.push_back(&c);  // never sent, and void now
+      continue;
+    }
+    c.sent = true;
+    ++c.in_flight;
+    auto& commands = by_machine[c.machine];
+    // An earlier attempt that ended there would make this one `busy`. The record that is durable
+    // now no longer has it, so it may be forgotten.
+    for (auto e = c.machine->exited.lower_bound({id, task, 0});
+         e != c.machine->exited.end() && std::get<0>(*e) == id && std::get<1>(*e) == task; ++e)
+      if (c.machine->lost.count(*e) == 0)
+        commands.push_back({Verb::forget, id, task, std::get<2>(*e), 0});
+    commands.push_back({Verb::start, id, task, attempt, 0});
+  }
+  for (auto& [machine, commands] : by_machine) send(*machine, std::move(commands));
+  const bool gang = j->second->gang();
+  for (Charge* c : off) release(*c);
+  const auto again = jobs_.find(id);
+  if (gang && !off.empty() && again != jobs_.end()) lost_attempt(*again->second);
+}
+
+}  // namespace seampass::leader
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -35,6 +35,8 @@
   }
 };
 
+inline Need need_of(const wire::Job& j) { return {j.cpus, j.gpus, j.memory_gb}; }
+
 // A running task that may be stopped for work of a higher priority: it saves its progress.
 struct Victim {
   std::string job;
