--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -36,13 +36,17 @@
 int serve(const config::Settings& settings, const config::Operator& op) {
   std::signal(SIGPIPE, SIG_IGN);
   net::Loop loop;
-  net::HttpClient http(loop, 8);
+  // Sockets: a sixteenth for idle connections that this node dialled, another for commands on their
+  // way (in Node), a thirty-second for peers, state service, cloud and files; the rest for those
+  // who come, of whom workers stay and idle users make room.
+  const auto sockets = static_cast<std::size_t>(settings.fd_limit);
+  net::HttpClient http(loop, sockets / 16);
   rpc::PeerLink peers(loop, settings.node, settings.peers);
   app::Node node(loop, http, peers, settings, op);
-  // Three quarters of the sockets for those who come; the rest for what this node dials.
   net::ServerLimits limits;
-  limits.max_connections = static_cast<std::size_t>(settings.fd_limit) * 3 / 4;
-  limits.idle = net::ms(settings.lease_s * 3);
+  limits.max_connections = sockets - sockets / 8 - sockets / 32;
+  limits.lasting_path = "/checkin";
+  limits.idle = net::ms(settings.lease_s);
   limits.slow = net::ms(settings.report_s * 3);
   net::HttpServer server(loop, limits, [&node](const net::Request& r, net::Answer answer) {
     node.handle(r, std::move(answer));
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -36,8 +36,9 @@
               peers.send(p.node, rpc::Leads{election_.warrant(), round});
           }),
       controller_(runtime, state_, cloud_, types_,
-                  workers::Client(http, ms(settings_.report_s / 3)), election_, archive_, settings_,
-                  operator_),
+                  workers::Client(http, ms(settings_.report_s / 3),
+                                  static_cast<std::size_t>(settings_.fd_limit) / 16),
+                  election_, archive_, settings_, operator_),
       desk_(runtime, state_, types_, election_, controller_, archive_, peers, settings_) {}
 
 void Node::start() {
--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -115,7 +115,8 @@
         });
   }
   // More waits for the store than it can take before the user would give up.
-  if (state_.backlog() > net::ms(settings_.report_s / 3)) return answer(later("busy"));
+  if (state_.backlog(state::Urgency::verdict) > net::ms(settings_.report_s / 3))
+    return answer(later("busy"));
   accept(id, leader::Controller::open_record(job, runtime_.wall()), true,
          [answer](const rpc::Answer& a) {
            if (a.verdict != rpc::Verdict::known) return answer(later("state not available"));
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -80,6 +80,7 @@
   for (auto& [klass, a] : arrivals_) a.recent.clear();
   ledger_.stop();
   fleet_.stop();
+  workers_.stop();
 }
 
 // ---- Jobs ----
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -141,6 +141,7 @@
   void evict(const sched::Decisions& decisions, const sched::Picture& p);
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks, const sched::Picture& p);
   void tick();
+  void log_use() const;
   void drain_noticed();
 
   net::Runtime& runtime_;
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -354,10 +354,34 @@
     for (const auto& [task, name] : job->held) kept.insert(name);
   }
   drain_noticed();
+  if (spdlog::should_log(spdlog::level::debug)) log_use();
   fleet_.tick(kept);
   kick();
 }
 
+// By machine type: what is paid for, and what it is used for.
+void Controller::log_use() const {
+  struct Use {
+    int up = 0, booting = 0, idle = 0, closed = 0, starting = 0, waiting = 0, running = 0;
+  };
+  std::map<std::string, Use> by_type;
+  for (const auto& [name, m] : fleet_.machines()) {
+    Use& u = by_type[m.type];
+    ++(m.up ? u.up : u.booting);
+    if (!m.up) continue;
+    if (m.charges.empty()) ++u.idle;
+    if (m.draining || m.deleting || m.taken_at) ++u.closed;
+    for (const auto& [key, c] : m.charges)
+      ++(c->state == TaskState::running   ? u.running
+         : c->state == TaskState::waiting ? u.waiting
+                                          : u.starting);
+  }
+  for (const auto& [type, u] : by_type)
+    spdlog::debug(
+        "{}: {} up, {} not yet, {} idle, {} closed; tasks {} starting, {} waiting, {} running",
+        type, u.up, u.booting, u.idle, u.closed, u.starting, u.waiting, u.running);
+}
+
 // Before the cloud takes a spot machine, what can save is told to.
 void Controller::drain_noticed() {
   const Ms now = runtime_.now();
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -22,6 +22,8 @@
   ReplyFn done;
   TimerId timer = 0;
   bool connected = false, closing = false, writing = false;
+  bool idle = false;
+  std::list<Conn*>::iterator place;  // in idle_order_, while idle
   char buffer[8192];
 
   void start_request() {
@@ -142,22 +144,26 @@
 
 HttpClient::~HttpClient() {
   while (!all_.empty()) {
-    all_.back()->done = nullptr;
-    if (all_.back()->timer != 0) loop_.cancel(all_.back()->timer);
-    all_.back()->close();
+    Conn* conn = *all_.begin();
+    conn->done = nullptr;
+    if (conn->timer != 0) loop_.cancel(conn->timer);
+    conn->close();
   }
 }
 
 void HttpClient::release(Conn* conn) {
-  auto& pool = idle_[conn->endpoint];
-  if (pool.size() >= max_idle_ || conn->writing) return conn->close();
-  pool.push_back(conn);
+  if (conn->writing) return conn->close();
+  idle_[conn->endpoint].push_back(conn);
+  conn->place = idle_order_.insert(idle_order_.end(), conn);
+  conn->idle = true;
+  if (idle_order_.size() > max_idle_) idle_order_.front()->close();
 }
 
 void HttpClient::forget(Conn* conn) {
-  std::erase(all_, conn);
+  all_.erase(conn);
+  if (!conn->idle) return;
+  idle_order_.erase(conn->place);
   const auto it = idle_.find(conn->endpoint);
-  if (it == idle_.end()) return;
   std::erase(it->second, conn);
   if (it->second.empty()) idle_.erase(it);
 }
@@ -179,6 +185,8 @@
     conn = it->second.back();
     it->second.pop_back();
     if (it->second.empty()) idle_.erase(it);
+    idle_order_.erase(conn->place);
+    conn->idle = false;
   } else {
     sockaddr_in addr{};
     try {
@@ -192,7 +200,7 @@
     uv_tcp_init(loop_.raw(), &conn->tcp);
     uv_tcp_nodelay(&conn->tcp, 1);
     conn->tcp.data = conn;
-    all_.push_back(conn);
+    all_.insert(conn);
     conn->connect_req.data = conn;
     const int rc =
         uv_tcp_connect(&conn->connect_req, &conn->tcp, reinterpret_cast<sockaddr*>(&addr),
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -16,9 +16,9 @@
   bool in_request = false;  // bytes of a request have come, it is not complete
   bool waiting = false;     // a complete request is being answered
   bool keep = true, closing = false, too_big = false;
+  bool lasting = false;
   Ms since = 0;
   std::string left;  // bytes after a complete request
-  char buffer[8192];
 
   void close() {
     if (closing) return;
@@ -83,6 +83,7 @@
     if (c->waiting) {
       if (used < n) c->left.assign(data + used, n - used);
       c->in_request = false;
+      c->lasting = c->request.path == server->limits_.lasting_path;
       server->handler_(c->request, [server, id](Response r) { server->answer(id, std::move(r)); });
       return;
     }
@@ -113,9 +114,10 @@
   const sockaddr_in addr = parse_endpoint(endpoint);
   int rc = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&addr), 0);
   if (rc == 0)
-    rc = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), 511, [](uv_stream_t* s, int status) {
-      if (status == 0) static_cast<HttpServer*>(s->data)->accept();
-    });
+    rc = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), SOMAXCONN,
+                   [](uv_stream_t* s, int status) {
+                     if (status == 0) static_cast<HttpServer*>(s->data)->accept();
+                   });
   if (rc != 0) throw std::runtime_error("cannot listen on " + endpoint + ": " + uv_strerror(rc));
 }
 
@@ -131,14 +133,15 @@
   conns_[c->id] = c;
   if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_), reinterpret_cast<uv_stream_t*>(&c->tcp)))
     return c->close();
-  // One beyond the bound is closed at once: the load balancer then tries another node.
-  if (conns_.size() > limits_.max_connections) return c->close();
+  // A new one beyond the bound displaces a user's that asks for nothing; else it is closed at once,
+  // and the load balancer, or the worker, tries another node.
+  if (conns_.size() > limits_.max_connections && !make_room()) return c->close();
   uv_tcp_nodelay(&c->tcp, 1);
   uv_read_start(
       reinterpret_cast<uv_stream_t*>(&c->tcp),
       [](uv_handle_t* h, std::size_t, uv_buf_t* buf) {
-        auto* conn = static_cast<Conn*>(h->data);
-        *buf = uv_buf_init(conn->buffer, sizeof conn->buffer);
+        auto& shared = static_cast<Conn*>(h->data)->owner->buffer_;
+        *buf = uv_buf_init(shared.data(), static_cast<unsigned>(shared.size()));
       },
       [](uv_stream_t* s, ssize_t n, const uv_buf_t* buf) {
         auto* conn = static_cast<Conn*>(s->data);
@@ -151,6 +154,17 @@
       });
 }
 
+bool HttpServer::make_room() {
+  Conn* oldest = nullptr;
+  for (const auto& [id, c] : conns_) {
+    // (The newest is the one that room is made for.)
+    if (c->lasting || c->waiting || c->in_request || id + 1 == next_) continue;
+    if (!oldest || c->since < oldest->since) oldest = c;
+  }
+  if (oldest) oldest->close();
+  return oldest != nullptr;
+}
+
 void HttpServer::answer(std::uint64_t id, Response r) {
   const auto it = conns_.find(id);
   if (it == conns_.end()) return;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 server over libuv: bounded connections, bodies and waits.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -29,6 +30,8 @@
 
 struct ServerLimits {
   std::size_t max_connections = 1000;
+  // A connection that last asked for this path is never closed to make room for another.
+  std::string lasting_path;
   Ms idle = 60000;  // between requests
   Ms slow = 10000;  // from a request's first byte to its last
 };
@@ -47,12 +50,17 @@
   void sweep();
   void answer(std::uint64_t conn, Response response);
 
+  // Closes the connection that has asked for nothing for longest; false if there is none.
+  bool make_room();
+
   Loop& loop_;
   ServerLimits limits_;
   Handler handler_;
   uv_tcp_t* listener_;
   std::uint64_t next_ = 1;
   std::unordered_map<std::uint64_t, Conn*> conns_;
+  // Bytes are consumed before the next read, so that all connections share one buffer.
+  std::array<char, 32u << 10> buffer_;
 };
 
 }  // namespace seampass::net
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -155,11 +155,12 @@
          [done = std::move(done)](const Reply& r) { done(outcome_of(r)); });
 }
 
-Ms Client::backlog() const {
+Ms Client::backlog(Urgency urgency) const {
   std::size_t requests = 0;
   int writes = 0;
-  for (const auto& q : queues_)
-    for (const Pending& p : q) {
+  // What is less urgent waits for it, and not the other way round.
+  for (int u = 0; u <= static_cast<int>(urgency); ++u)
+    for (const Pending& p : queues_[u]) {
       ++requests;
       writes += p.writes;
     }
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -101,7 +101,7 @@
   void end(std::uint64_t lease, std::function<void(Outcome)> done);
 
   // How long a request of this urgency would wait for its turn now.
-  net::Ms backlog() const;
+  net::Ms backlog(Urgency urgency) const;
   // The last few requests all failed, or were refused.
   bool seems_down() const { return failures_ >= 3; }
 
--- a/src/workers/client.h
+++ b/src/workers/client.h
@@ -1,6 +1,7 @@
-// Commands sent straight to workers.
+// Commands sent straight to workers: so many at a time, the rest in their order.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -20,15 +21,24 @@
 
 class Client {
  public:
-  Client(net::HttpCaller& http, net::Ms timeout) : http_(http), timeout_(timeout) {}
+  using Done = std::function<void(Sent, std::optional<wire::WorkerReport>)>;
+
+  // most: messages on their way at once, each of which may need a socket.
+  Client(net::HttpCaller& http, net::Ms timeout, std::size_t most)
+      : http_(http), timeout_(timeout), most_(most) {}
 
   void send(const std::string& addr, std::uint64_t token, std::uint64_t session,
-            const std::vector<wire::Command>& commands,
-            std::function<void(Sent, std::optional<wire::WorkerReport>)> done);
+            const std::vector<wire::Command>& commands, Done done);
+  // Drops what has not left yet; its askers hear nothing.
+  void stop() { queue_.clear(); }
 
  private:
+  void dispatch(net::Call call, Done done);
+
   net::HttpCaller& http_;
   net::Ms timeout_;
+  std::size_t most_, sent_ = 0;
+  std::deque<std::pair<net::Call, Done>> queue_;
 };
 
 }  // namespace seampass::workers
