--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -46,7 +46,7 @@
               {[this](const std::string& id, std::uint32_t c) { return render(id, c); },
                [this] { election_.lost(); },
                [this](const std::string& id, wire::Stage stage) { verdict(id, stage); }}),
-      fleet_(runtime, cloud, types, settings, op, [this](Machine& m) { machine_gone(m); }),
+      fleet_(runtime, cloud, types, settings, op, [this](Machine& m) { forget_machine(m); }),
       chunk_tasks_(std::max<std::uint32_t>(
           16, static_cast<std::uint32_t>(settings.value_kb * 1024) / kTaskBytes)) {
   for (const config::Objective& o : settings.objectives) {
@@ -77,6 +77,8 @@
   jobs_.clear();
   team_use_.clear();
   kept_.clear();
+  picture_ = {};
+  free_slots_.clear();
   for (auto& [klass, a] : arrivals_) a.recent.clear();
   ledger_.stop();
   fleet_.stop();
@@ -113,7 +115,8 @@
     aim->second.latest = job->spec;
     aim->second.recent.emplace_back(runtime_.now() - age, job->spec.tasks);
   }
-  spdlog::debug("queued {} of {}, {} tasks", id, job->spec.klass, job->spec.tasks);
+  spdlog::debug("queued {} of {}, {} tasks, team {}", id, job->spec.klass, job->spec.tasks,
+                job->spec.team);
   jobs_.emplace(id, std::move(job));
   kick();
 }
@@ -172,6 +175,7 @@
   JobRecord& job = *it->second;
   job.ending = job.ended = true;
   job.stage = stage;
+  spdlog::debug("ended {}, {}", id, wire::stage_name(stage));
   const rpc::Answer answer = status_of(job);
   archive_.remember(answer.status);
   const auto waiters = std::move(job.waiters);
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -62,7 +62,9 @@
   // Gangs.
   std::vector<std::pair<std::uint32_t, std::string>> held;
   net::Ms held_since = 0;
-  bool whole_only = false;
+  bool whole_only = false;  // timed out once
+  std::string kept_zone;    // where its room is kept since then, if anywhere
+  net::Ms kept_since = 0;
   // Ends.
   bool ending = false;
   bool ended = false;
@@ -121,6 +123,7 @@
   void send_stops(const std::vector<Charge*>& charges);
   void set_state(Charge& charge, wire::TaskState state);
   void machine_gone(Machine& machine);
+  void forget_machine(Machine& machine);
 
   // Workers: reports.cc.
   void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
@@ -133,13 +136,20 @@
   // Scheduling: planning.cc.
   void kick();
   void run_pass();
-  sched::Picture picture(std::vector<JobRecord*>& jobs);
+  void draw(Machine& machine, const wire::MachineType& type);
+  void draw_machines();
+  void draw_teams();
+  std::vector<JobRecord*> draw_jobs();
+  std::set<const JobRecord*> guaranteed_jobs() const;
+  void keep_zones(const std::vector<JobRecord*>& jobs);
+  void touch(std::size_t slot);
+  double longest_boot_s() const;
   double age_s(const JobRecord& job) const;
   double patience_s(const JobRecord& job) const;
-  std::vector<sched::Spare> spares(const sched::Picture& p) const;
-  void plan(sched::Picture p);
-  void evict(const sched::Decisions& decisions, const sched::Picture& p);
-  void start(JobRecord& job, const std::vector<sched::Placement>& tasks, const sched::Picture& p);
+  std::vector<sched::Spare> spares() const;
+  void plan();
+  void evict(const sched::Decisions& decisions);
+  void start(JobRecord& job, const std::vector<sched::Placement>& tasks);
   void tick();
   void log_use() const;
   void drain_noticed();
@@ -158,10 +168,13 @@
 
   bool active_ = false, loaded_ = false, kicked_ = false;
   std::uint64_t term_ = 0;
-  net::Ms began_ = 0, last_rental_ = 0;
+  net::Ms began_ = 0, last_rental_ = 0, next_pass_ = 0;
   state::Version watched_ = 0;
   std::map<std::string, std::unique_ptr<JobRecord>> jobs_;
   std::map<std::string, sched::Need> team_use_;
+  // Kept from pass to pass: a machine is drawn anew when it has changed.
+  sched::Picture picture_;
+  std::vector<std::size_t> free_slots_;
 
   // Arrivals of the classes that have a start aim: what a spare is measured by.
   struct Arrivals {
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -44,6 +44,10 @@
   // Starts sent to /commands without an answer: they may be executed late, until the session
   // changes.
   std::set<AttemptName> lost;
+  // Its place among the picture's machines, and whether it has changed since it was drawn there.
+  std::size_t slot = kNoSlot;
+  bool stale = true;
+  static constexpr std::size_t kNoSlot = static_cast<std::size_t>(-1);
 };
 
 class Fleet {
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 #include "leader/controller.h"
 
@@ -18,7 +19,13 @@
 
 // Pending tasks of one job that a pass looks at.
 constexpr std::size_t kPassTasks = 256;
-constexpr Ms kPassDelay = 5;
+// A pass follows what calls for it at once, but for the last pass: what comes in between goes
+// together, into fewer records and messages. (A share of the report interval.)
+constexpr double kPassPause = 0.04;
+// After a pass the controller is free for its other work for so many times as long.
+constexpr Ms kPassRest = 4;
+// A gang's room is kept in one zone for so many of the longest boots.
+constexpr double kKeptBoots = 3;
 // Arrivals are counted over this many boot times.
 constexpr double kArrivalWindow = 6;
 constexpr std::size_t kMaxArrivals = 500;
@@ -31,81 +38,119 @@
   if (kicked_ || !loaded_) return;
   kicked_ = true;
   const std::uint64_t term = term_;
-  runtime_.after(kPassDelay, [this, term] {
+  runtime_.after(std::max<Ms>(1, next_pass_ - runtime_.now()), [this, term] {
     if (term != term_) return;
     kicked_ = false;
     run_pass();
   });
 }
 
-sched::Picture Controller::picture(std::vector<JobRecord*>& jobs) {
-  sched::Picture p;
-  const Ms now = runtime_.now();
-  p.choice = operator_.machine_choice == "first-fit" ? sched::MachineChoice::first_fit
-                                                     : sched::MachineChoice::scored;
-  std::map<std::string, double> guaranteed;
-  for (const config::Team& t : settings_.teams) {
-    guaranteed[t.name] = t.gpus;
-    sched::TeamView& v = p.teams[t.name];
-    if (t.cpus_max > 0) v.cpus_max = t.cpus_max;
-    if (t.gpus_max > 0) v.gpus_max = t.gpus_max;
-    const auto use = team_use_.find(t.name);
-    if (use != team_use_.end()) {
-      v.cpus = use->second.cpus;
-      v.gpus = use->second.gpus;
-    }
+// What a machine is used for, drawn anew only after it has changed.
+void Controller::draw(Machine& m, const wire::MachineType& type) {
+  sched::MachineView& v = picture_.machines[m.slot];
+  v.name = m.name;
+  v.type = m.type;
+  v.zone = m.zone;
+  v.spot = m.spot;
+  v.total = v.free = {type.cpus, type.gpus, type.memory_gb};
+  v.victims.clear();
+  for (const auto& [key, c] : m.charges) {
+    const wire::Job& spec = c->job->spec;
+    v.free -= need_of(spec);
+    // Only what saves, runs, and is not being stopped already.
+    if (!c->job->gang() && spec.checkpoint_s > 0 && c->state == TaskState::running && !c->stop)
+      v.victims.push_back({spec.id, c->task, spec.priority, need_of(spec)});
   }
-  std::map<std::string, std::size_t> index;
+  v.images = m.images;
+  m.stale = false;
+}
+
+void Controller::draw_machines() {
+  const Ms now = runtime_.now();
+  const Ms fresh = net::ms(settings_.lease_s) / 3;
   for (auto& [name, m] : fleet_.machines()) {
     const wire::MachineType* type = types_.find(m.type);
-    if (!type || m.deleting) continue;
-    sched::MachineView v;
-    v.name = name;
-    v.type = m.type;
-    v.zone = m.zone;
-    v.spot = m.spot;
-    v.price = m.spot ? type->spot_price : type->price;
-    v.total = v.free = {type->cpus, type->gpus, type->memory_gb};
-    for (const auto& [key, c] : m.charges) {
-      const wire::Job& spec = c->job->spec;
-      v.free -= need_of(spec);
-      // Only what saves, runs, and is not being stopped already.
-      if (!c->job->gang() && spec.checkpoint_s > 0 && c->state == TaskState::running && !c->stop)
-        v.victims.push_back({spec.id, c->task, spec.priority, need_of(spec)});
-      if (spec.kind == wire::JobKind::service) continue;
-      // The owner's estimate, often wrong: what has outlived it may take some more.
-      const double run_s =
-          c->running_since == 0 ? 0 : static_cast<double>(now - c->running_since) / 1000;
-      v.releases.emplace_back(std::max(spec.estimate_s - run_s, spec.estimate_s / 4),
-                              need_of(spec));
+    if (!type) continue;
+    if (m.slot == Machine::kNoSlot) {
+      if (free_slots_.empty()) {
+        m.slot = picture_.machines.size();
+        picture_.machines.emplace_back();
+      } else {
+        m.slot = free_slots_.back();
+        free_slots_.pop_back();
+      }
+      m.stale = true;
     }
-    // Half the lease without a word: whatever is started there may never be.
-    v.open = m.up && !m.draining && !m.taken_at && m.strangers == 0 && now >= m.suspect_until &&
-             now - m.heard < net::ms(settings_.lease_s) / 3;
-    v.booting = !m.up && m.charges.empty() && now - m.since < net::ms(2 * type->boot_s);
-    v.images = m.images;
+    if (m.stale) draw(m, *type);
+    // What time alone changes.
+    sched::MachineView& v = picture_.machines[m.slot];
+    v.price = m.spot ? type->spot_price : type->price;
+    // A third of the lease without a word: whatever is started there may never be.
+    v.open = m.up && !m.deleting && !m.draining && !m.taken_at && m.strangers == 0 &&
+             now >= m.suspect_until && now - m.heard < fresh;
+    v.booting =
+        !m.up && !m.deleting && m.charges.empty() && now - m.since < net::ms(2 * type->boot_s);
+    v.claimed_by.clear();
     if (now < m.claimed_until && jobs_.count(m.claimed_by) != 0) v.claimed_by = m.claimed_by;
-    index[name] = p.machines.size();
-    p.machines.push_back(std::move(v));
   }
+  picture_.asked.clear();
   for (const auto& [request, asked] : fleet_.asked()) {
     const wire::MachineType* type = types_.find(asked.type);
     if (!type) continue;
-    for (int i = 0; i < asked.count; ++i) {
-      sched::MachineView v;
-      v.type = asked.type;
-      v.zone = asked.zone;
-      v.spot = asked.spot;
-      v.booting = true;
-      v.total = v.free = {type->cpus, type->gpus, type->memory_gb};
-      p.machines.push_back(std::move(v));
+    sched::MachineView v;
+    v.type = asked.type;
+    v.zone = asked.zone;
+    v.spot = asked.spot;
+    v.booting = true;
+    v.total = v.free = {type->cpus, type->gpus, type->memory_gb};
+    picture_.asked.insert(picture_.asked.end(), static_cast<std::size_t>(asked.count), v);
+  }
+}
+
+void Controller::draw_teams() {
+  picture_.teams.clear();
+  for (const config::Team& t : settings_.teams) {
+    sched::TeamView& v = picture_.teams[t.name];
+    if (t.cpus_max > 0) v.cpus_max = t.cpus_max;
+    if (t.gpus_max > 0) v.gpus_max = t.gpus_max;
+    const auto use = team_use_.find(t.name);
+    if (use != team_use_.end()) {
+      v.cpus = use->second.cpus;
+      v.gpus = use->second.gpus;
     }
   }
-  double longest_boot = 0;
-  for (const auto& [name, t] : types_.types()) longest_boot = std::max(longest_boot, t.boot_s);
-  bool short_of_room = false;
+}
+
+// A job is within its team's guarantee if it fits there together with the team's earlier unfinished
+// jobs.
+std::set<const JobRecord*> Controller::guaranteed_jobs() const {
+  std::vector<const JobRecord*> order;
+  for (const auto& [id, job] : jobs_)
+    if (!job->ending && job->spec.gpus > 0) order.push_back(job.get());
+  std::sort(order.begin(), order.end(), [](const JobRecord* a, const JobRecord* b) {
+    return std::tie(a->created_ms, a->spec.id) < std::tie(b->created_ms, b->spec.id);
+  });
+  std::map<std::string, double> asked;
+  std::set<const JobRecord*> result;
+  for (const JobRecord* job : order) {
+    const config::Team* team = settings_.team(job->spec.team);
+    double& gpus = asked[job->spec.team];
+    gpus += (job->spec.tasks - job->finished_count) * job->spec.gpus;
+    if (team && gpus <= team->gpus) result.insert(job);
+  }
+  return result;
+}
+
+std::vector<JobRecord*> Controller::draw_jobs() {
+  picture_.jobs.clear();
+  std::vector<JobRecord*> jobs;
+  const Ms now = runtime_.now();
+  const auto guaranteed = guaranteed_jobs();
+  std::vector<const Machine*> lossy;  // a start sent to them may still come late
+  for (const auto& [name, m] : fleet_.machines())
+    if (!m.lost.empty() && m.slot != Machine::kNoSlot) lossy.push_back(&m);
   for (auto& [id, job] : jobs_) {
-    if (job->ending) continue;
+    if (job->ending || job->hint == job->spec.tasks) continue;
     const bool gang = job->gang();
     if (gang && !job->charges.empty()) continue;  // the next attempt waits for all of the last
     sched::JobView v;
@@ -135,55 +180,121 @@
     v.image = job->spec.image;
     v.patience_s = patience_s(*job);
     v.urgent = arrivals_.count(job->spec.klass) != 0;
+    v.guaranteed = guaranteed.count(job.get()) != 0;
+    v.turn = v.guaranteed ? 0 : 1;
     v.tasks = job->spec.tasks;
     for (const auto& [task, c] : job->charges) ++v.placed[c.machine->zone];
     v.blocked = now < job->retry_at;
     // Where a start of an earlier attempt may still come late, that attempt is never forgotten,
     // and would be in the way of this one.
-    for (const auto& [name, m] : fleet_.machines()) {
-      const auto e = m.lost.lower_bound({id, 0, 0});
-      if (e != m.lost.end() && std::get<0>(*e) == id && index.count(name) != 0)
-        v.avoid.insert(index[name]);
+    for (const Machine* m : lossy) {
+      const auto e = m->lost.lower_bound({id, 0, 0});
+      if (e != m->lost.end() && std::get<0>(*e) == id) v.avoid.insert(m->slot);
     }
     v.whole_only = job->whole_only;
-    std::vector<std::pair<std::uint32_t, std::string>> held;
     for (const auto& [task, name] : job->held) {
-      const auto it = index.find(name);
-      if (it == index.end() || !p.machines[it->second].open || v.blocked) continue;
-      p.machines[it->second].free -= v.need;
-      p.teams[v.team].cpus += v.need.cpus;
-      p.teams[v.team].gpus += v.need.gpus;
-      v.held.push_back({task, it->second});
+      const Machine* m = fleet_.find(name);
+      if (!m || m->slot == Machine::kNoSlot || v.blocked) continue;
+      sched::MachineView& machine = picture_.machines[m->slot];
+      if (!machine.open) continue;
+      machine.free -= v.need;
+      picture_.teams[v.team].cpus += v.need.cpus;
+      picture_.teams[v.team].gpus += v.need.gpus;
+      v.held.push_back({task, m->slot});
     }
-    // Machines have had time to come, twice over, and did not: more is asked than there is.
-    short_of_room = short_of_room || age_s(*job) > 2 * longest_boot;
-    p.jobs.push_back(std::move(v));
+    picture_.jobs.push_back(std::move(v));
     jobs.push_back(job.get());
   }
-  if (short_of_room) sched::set_turns(p.jobs, p.teams, guaranteed);
-  return p;
+  return jobs;
+}
+
+// A gang that timed out holds nothing until all of it fits, and would starve while smaller ones
+// take what comes free. So the first such gang in the queue goes on holding, one for each zone:
+// what comes free there goes to it, and what it lacks is rented there. It moves on if that takes
+// too long.
+void Controller::keep_zones(const std::vector<JobRecord*>& jobs) {
+  const Ms now = runtime_.now();
+  std::set<std::string> taken;
+  for (const std::size_t j : sched::queue_order(picture_.jobs)) {
+    JobRecord& job = *jobs[j];
+    sched::JobView& v = picture_.jobs[j];
+    if (!job.gang() || !v.one_zone || !job.whole_only || v.blocked) continue;
+    if (taken.size() == settings_.zones.size()) break;
+    const bool late = now - job.kept_since > net::ms(kKeptBoots * longest_boot_s());
+    if (job.kept_zone.empty() || late || taken.count(job.kept_zone) != 0) {
+      std::map<std::string, std::uint32_t>
+          hosts;  // machines that could take a task, were they empty
+      for (const sched::MachineView& m : picture_.machines)
+        if ((m.open || m.booting) && taken.count(m.zone) == 0 &&
+            sched::allowed(v, m.type, m.zone, m.spot) && sched::capacity(v.need, m.total) > 0)
+          ++hosts[m.zone];
+      if (late) hosts.erase(job.kept_zone);
+      std::string best;
+      for (const auto& [zone, n] : hosts)
+        if (best.empty() || n > hosts[best]) best = zone;
+      if (best.empty()) continue;
+      job.kept_zone = best;
+      job.kept_since = now;
+    }
+    taken.insert(job.kept_zone);
+    v.kept_zone = job.kept_zone;
+    v.whole_only = false;
+  }
+}
+
+double Controller::longest_boot_s() const {
+  double longest = 0;
+  for (const auto& [name, t] : types_.types()) longest = std::max(longest, t.boot_s);
+  return longest;
 }
 
 void Controller::run_pass() {
   if (!ready() || !types_.known()) return;
-  std::vector<JobRecord*> jobs;
-  sched::Picture p = picture(jobs);
-  const sched::Decisions d = sched::pass(p);
+  const Ms began = runtime_.exact();
+  picture_.choice = operator_.machine_choice == "first-fit" ? sched::MachineChoice::first_fit
+                                                            : sched::MachineChoice::scored;
+  draw_machines();
+  draw_teams();
+  const std::vector<JobRecord*> jobs = draw_jobs();
+  // Machines have had time to come, twice over, and did not: more is asked than there is.
+  const double patience = 2 * longest_boot_s();
+  if (std::any_of(jobs.begin(), jobs.end(),
+                  [&](const JobRecord* job) { return age_s(*job) > patience; })) {
+    std::map<std::string, double> guaranteed;
+    for (const config::Team& t : settings_.teams) guaranteed[t.name] = t.gpus;
+    sched::set_turns(picture_.jobs, picture_.teams, guaranteed);
+  }
+  keep_zones(jobs);
+  // Room that is held is taken in the picture only until the pass is over.
+  for (const sched::JobView& v : picture_.jobs)
+    for (const sched::Placement& x : v.held) touch(x.machine);
+  const sched::Decisions d = sched::pass(picture_);
   const Ms now = runtime_.now();
-  for (std::size_t j = 0; j < jobs.size(); ++j) {
-    const bool held = !jobs[j]->held.empty();
-    jobs[j]->held.clear();
-    if (!held) jobs[j]->held_since = now;
+  for (JobRecord* job : jobs) {
+    if (job->held.empty()) job->held_since = now;
+    job->held.clear();
+  }
+  for (const sched::Batch& b : d.holds) {
+    for (const sched::Placement& x : b.tasks) {
+      jobs[b.job]->held.emplace_back(x.task, picture_.machines[x.machine].name);
+      touch(x.machine);
+    }
   }
-  for (const sched::Batch& b : d.holds)
-    for (const sched::Placement& x : b.tasks)
-      jobs[b.job]->held.emplace_back(x.task, p.machines[x.machine].name);
-  evict(d, p);
-  for (const sched::Batch& b : d.starts) start(*jobs[b.job], b.tasks, p);
+  evict(d);
+  for (const sched::Batch& b : d.starts) start(*jobs[b.job], b.tasks);
   // Renting is paced: what is asked of the cloud takes far longer than the pause.
-  if (now - last_rental_ < net::ms(settings_.report_s / 3)) return;
-  last_rental_ = now;
-  plan(std::move(p));
+  if (now - last_rental_ >= net::ms(settings_.report_s / 3)) {
+    last_rental_ = now;
+    plan();
+  }
+  // A slow controller falls behind in freshness, and not in check-ins, renewals and answers.
+  const Ms after = runtime_.exact();
+  next_pass_ =
+      after + std::max(kPassRest * (after - began), net::ms(kPassPause * settings_.report_s));
+}
+
+void Controller::touch(std::size_t slot) {
+  if (Machine* m = fleet_.find(picture_.machines[slot].name)) m->stale = true;
 }
 
 double Controller::age_s(const JobRecord& job) const {
@@ -220,10 +331,11 @@
 }
 
 // For each class with a start aim: as many tasks as are likely to come while a machine boots.
-std::vector<sched::Spare> Controller::spares(const sched::Picture& p) const {
+std::vector<sched::Spare> Controller::spares() const {
   std::vector<sched::Spare> list;
   double spent = 0;
-  for (const sched::MachineView& m : p.machines) spent += m.price;
+  for (const sched::MachineView& m : picture_.machines) spent += m.price;
+  for (const sched::MachineView& m : picture_.asked) spent += m.price;
   const Ms now = runtime_.now();
   for (const auto& [klass, a] : arrivals_) {
     if (a.recent.empty()) continue;
@@ -237,11 +349,16 @@
     // A class whose aim leaves time to boot needs no spare.
     if (boot <= 0 || a.within_s > 2 * boot) continue;
     const Ms window = std::min(now - a.recent.front().first, net::ms(kArrivalWindow * boot));
-    double tasks = 0;
+    double tasks = 0, squares = 0;
     for (const auto& [when, n] : a.recent)
-      if (now - when <= window) tasks += n;
-    const double expected = tasks * boot / std::max(static_cast<double>(window) / 1000, boot);
-    const auto count = static_cast<std::uint32_t>(std::ceil(expected + std::sqrt(expected)));
+      if (now - when <= window) {
+        tasks += n;
+        squares += static_cast<double>(n) * n;
+      }
+    const double share = boot / std::max(static_cast<double>(window) / 1000, boot);
+    // Tasks of a job come together, so that their number spreads by the square of a job's size.
+    const double expected = tasks * share + std::sqrt(squares * share);
+    const auto count = static_cast<std::uint32_t>(std::ceil(expected));
     sched::Spare s;
     s.budget = operator_.spare_share * spent;
     s.dearest = kSpareDearest * cheapest;
@@ -258,7 +375,7 @@
   return list;
 }
 
-void Controller::evict(const sched::Decisions& d, const sched::Picture& p) {
+void Controller::evict(const sched::Decisions& d) {
   std::vector<Charge*> stops;
   for (const sched::Eviction& e : d.evictions) {
     double grace = 0;
@@ -272,43 +389,55 @@
       stops.push_back(&c->second);
       grace = std::max(grace, save);
     }
-    Machine* m = fleet_.find(p.machines[e.machine].name);
+    Machine* m = fleet_.find(picture_.machines[e.machine].name);
     if (!m) continue;
-    m->claimed_by = p.jobs[e.job].id;
+    m->claimed_by = picture_.jobs[e.job].id;
     m->claimed_until = runtime_.now() + net::ms(grace + 2 * settings_.report_s);
     spdlog::debug("clearing {} of {} tasks for {}", m->name, e.tasks.size(), m->claimed_by);
   }
   send_stops(stops);
 }
 
-void Controller::plan(sched::Picture p) {
-  const auto wanted = spares(p);
-  std::vector<std::string> names;
-  for (const sched::MachineView& m : p.machines) names.push_back(m.name);
+void Controller::plan() {
+  const Ms now = runtime_.now();
+  for (const auto& [name, m] : fleet_.machines()) {
+    if (m.slot == Machine::kNoSlot) continue;
+    auto& releases = picture_.machines[m.slot].releases;
+    releases.clear();
+    for (const auto& [key, c] : m.charges) {
+      const wire::Job& spec = c->job->spec;
+      if (spec.kind == wire::JobKind::service) continue;
+      // The owner's estimate, often wrong: what has outlived it may take some more.
+      const double run_s =
+          c->running_since == 0 ? 0 : static_cast<double>(now - c->running_since) / 1000;
+      releases.emplace_back(std::max(spec.estimate_s - run_s, spec.estimate_s / 4), need_of(spec));
+    }
+  }
   const auto options = fleet_.options();
-  const sched::MachinePlan plan = sched::plan_machines(std::move(p), options, wanted);
+  const sched::MachinePlan plan = sched::plan_machines(picture_, options, spares());
   kept_.clear();
-  for (const std::size_t i : plan.keep) kept_.insert(names[i]);
+  for (const std::size_t i : plan.keep) kept_.insert(picture_.machines[i].name);
   for (const sched::RentalWish& w : plan.rentals) fleet_.rent(options[w.option], w.count);
 }
 
-void Controller::start(JobRecord& job, const std::vector<sched::Placement>& tasks,
-                       const sched::Picture& p) {
+void Controller::start(JobRecord& job, const std::vector<sched::Placement>& tasks) {
   const std::uint64_t attempt = ++job.last_attempt;
   for (auto& [name, m] : fleet_.machines())
     if (m.claimed_by == job.spec.id) m.claimed_by.clear();
   job.whole_only = false;
+  job.kept_zone.clear();
   std::map<std::uint32_t, std::vector<std::pair<std::uint32_t, std::uint64_t>>> by_chunk;
   std::vector<std::pair<std::uint32_t, std::uint64_t>> all;
   for (const sched::Placement& x : tasks) {
-    Machine* m = fleet_.find(p.machines[x.machine].name);
+    Machine* m = fleet_.find(picture_.machines[x.machine].name);
     if (!m) continue;
+    m->stale = true;
     charge(job, x.task, attempt, *m, m->session);
     by_chunk[chunk_of(x.task)].emplace_back(x.task, attempt);
     all.emplace_back(x.task, attempt);
   }
   spdlog::debug("starting {} tasks of {} try {} on {}", all.size(), job.spec.id, attempt,
-                p.machines[tasks.front().machine].name);
+                picture_.machines[tasks.front().machine].name);
   const std::string id = job.spec.id;
   const bool gang = job.gang();
   // A gang's start record may span several chunks: nothing starts before the last is durable.
@@ -346,7 +475,8 @@
     while (a.recent.size() > kMaxArrivals) a.recent.pop_front();
   std::set<std::string> kept = kept_;
   for (auto& [id, job] : jobs_) {
-    if (!job->held.empty() && now - job->held_since > net::ms(operator_.hold_timeout_s)) {
+    if (!job->held.empty() && !job->whole_only &&
+        now - job->held_since > net::ms(operator_.hold_timeout_s)) {
       job->held.clear();
       job->whole_only = true;
       kick();
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -25,12 +25,15 @@
   job.taken[task] = true;
   machine.charges[{job.spec.id, task}] = &c;
   team_use_[job.spec.team] += need_of(job.spec);
+  machine.stale = true;
   return c;
 }
 
 void Controller::set_state(Charge& c, TaskState state) {
+  if (c.state == state) return;
   if (c.state == TaskState::running) --c.job->running;
   c.state = state;
+  c.machine->stale = true;
   if (c.state != TaskState::running) return;
   ++c.job->running;
   if (c.running_since == 0) c.running_since = runtime_.now();
@@ -43,6 +46,7 @@
   set_state(c, TaskState::exited);
   c.machine->charges.erase({job.spec.id, task});
   c.machine->idle_since = runtime_.now();
+  c.machine->stale = true;
   team_use_[job.spec.team] -= need_of(job.spec);
   job.charges.erase(task);
   if (!job.ended) job.taken[task] = job.finished[task];
@@ -62,6 +66,7 @@
 void Controller::stop_charge(Charge& c, double grace_s) {
   if (c.stop) return;
   c.stop = true;
+  c.machine->stale = true;
   c.grace_s = grace_s;
   c.stop_since = runtime_.now();
 }
@@ -101,6 +106,14 @@
   }
 }
 
+// Its place in the picture is free for another.
+void Controller::forget_machine(Machine& machine) {
+  machine_gone(machine);
+  if (machine.slot == Machine::kNoSlot) return;
+  picture_.machines[machine.slot] = {};
+  free_slots_.push_back(machine.slot);
+}
+
 // ---- Workers ----
 
 CheckinAnswer Controller::checkin(const wire::WorkerReport& report) {
@@ -184,7 +197,7 @@
     if (t.state == TaskState::exited) {
       exits.emplace_back(c, t);
     } else {
-      if (t.state != TaskState::fetching) m.images.insert(image);
+      if (t.state != TaskState::fetching && m.images.insert(image).second) m.stale = true;
       set_state(*c, t.state);
     }
   }
@@ -227,6 +240,8 @@
   const Ms report = net::ms(settings_.report_s);
   const bool gang = job.gang();
   const bool told = c.stop;
+  spdlog::debug("{}/{} try {} on {} ended, cause {} told {}", job.spec.id, c.task, c.attempt,
+                m.name, static_cast<int>(t.cause), told);
   if (t.cause == ExitCause::done) {
     m.images.insert(job.spec.image);
     m.errors = 0;
@@ -262,8 +277,6 @@
     default:
       break;
   }
-  spdlog::debug("{}/{} try {} on {} ended, cause {} told {}", job.spec.id, c.task, c.attempt,
-                m.name, static_cast<int>(t.cause), told);
   const std::string id = job.spec.id;
   release(c);
   const auto it = jobs_.find(id);
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -22,6 +22,8 @@
 
 Ms Loop::now() const { return static_cast<Ms>(uv_now(&loop_)); }
 
+Ms Loop::exact() const { return static_cast<Ms>(uv_hrtime() / 1000000); }
+
 Ms Loop::wall() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <string_view>
 #include <tuple>
 
 #include "sched/picture.h"
@@ -22,162 +23,245 @@
   return true;
 }
 
-// Score: lower is better. A machine with accelerators that the task does not use is dearest of
-// all; then the price counts, before it a cached image where a quick start does; then the tightest
-// fit, so that machines empty and can be returned.
-auto score(const JobView& job, const MachineView& m) {
-  const bool wasted = job.need.gpus == 0 && m.total.gpus > 0;
-  const bool cached = m.images.count(job.image) != 0;
-  return std::make_tuple(wasted, job.urgent && !cached, m.price, !cached, m.free.gpus, m.free.cpus);
-}
+// Open machines that the same jobs may use.
+struct Pool {
+  const MachineView* like = nullptr;
+  std::vector<std::size_t> machines;
+  // Needs that no machine of the pool had room for in this pass: what asks for as much or more
+  // need not look. Room only shrinks in a pass, but for holds given up, which clear these.
+  std::vector<Need> hopeless;
+};
 
-std::optional<std::size_t> choose(const Picture& p, const JobView& job, const Zones& placed,
-                                  const std::string* only_zone) {
-  std::optional<std::size_t> best;
-  for (std::size_t i = 0; i < p.machines.size(); ++i) {
-    const MachineView& m = p.machines[i];
-    if (!m.open || (only_zone && m.zone != *only_zone)) continue;
-    if (!m.claimed_by.empty() && m.claimed_by != job.id) continue;
-    if (!job.need.fits_in(m.free) || !allowed(job, m.type, m.zone, m.spot)) continue;
-    if (!zone_allows(job, placed, m.zone) || job.avoid.count(i) != 0) continue;
-    if (p.choice == MachineChoice::first_fit) return i;
-    if (!best || score(job, m) < score(job, p.machines[*best])) best = i;
-  }
-  return best;
-}
-
-// Reserve / unreserve.
-void take(Picture& p, const JobView& job, std::size_t machine) {
-  p.machines[machine].free -= job.need;
-  TeamView& team = p.teams[job.team];
-  team.cpus += job.need.cpus;
-  team.gpus += job.need.gpus;
-}
+constexpr std::size_t kMostHopeless = 16;
 
-void give_back(Picture& p, const JobView& job, std::size_t machine) {
-  p.machines[machine].free += job.need;
-  TeamView& team = p.teams[job.team];
-  team.cpus -= job.need.cpus;
-  team.gpus -= job.need.gpus;
-}
+class Pass {
+ public:
+  explicit Pass(Picture& p) : p_(p) {
+    std::map<std::tuple<std::string_view, std::string_view, bool>, std::size_t> index;
+    for (std::size_t i = 0; i < p_.machines.size(); ++i) {
+      const MachineView& m = p_.machines[i];
+      if (!m.open) continue;
+      const auto [at, fresh] = index.try_emplace({m.type, m.zone, m.spot}, pools_.size());
+      if (fresh) pools_.push_back({&m, {}, {}});
+      pools_[at->second].machines.push_back(i);
+    }
+  }
 
-// Places as many of `tasks` as go, in `zone` if named, and reserves their room.
-std::vector<Placement> place(Picture& p, const JobView& job,
-                             const std::vector<std::uint32_t>& tasks, const std::string* zone) {
-  Zones placed = job.placed;
-  std::vector<Placement> result;
-  std::uint32_t room = p.teams[job.team].allows(job.need);
-  for (const std::uint32_t t : tasks) {
-    if (room == 0) break;
-    const auto m = choose(p, job, placed, zone);
-    if (!m) break;  // all tasks of a job are alike
-    take(p, job, *m);
-    ++placed[p.machines[*m].zone];
-    --room;
-    result.push_back({t, *m});
+  Decisions run() {
+    for (const std::size_t j : queue_order(p_.jobs)) {
+      JobView& job = p_.jobs[j];
+      if (job.blocked || job.pending.empty()) continue;
+      if (job.kind == wire::JobKind::gang)
+        place_gang(j);
+      else
+        place_singly(j);
+      if (!job.pending.empty() && job.urgent) clear_room(j);
+    }
+    return std::move(out_);
   }
-  return result;
-}
 
-void undo(Picture& p, const JobView& job, const std::vector<Placement>& placements) {
-  for (const Placement& x : placements) give_back(p, job, x.machine);
-}
+ private:
+  // Lower is better. A machine with accelerators that the task does not use is dearest of all; then
+  // the price counts, before it a cached image where a quick start does; then the tightest fit, so
+  // that machines empty and can be returned.
+  using Score = std::tuple<bool, bool, double, bool, double, double, std::size_t>;
+  Score score(const JobView& job, std::size_t i) const {
+    const MachineView& m = p_.machines[i];
+    if (p_.choice == MachineChoice::first_fit) return {false, false, 0, false, 0, 0, i};
+    const bool wasted = job.need.gpus == 0 && m.total.gpus > 0;
+    const bool cached = m.images.count(job.image) != 0;
+    const bool hurry = job.urgent || job.guaranteed;
+    return {wasted, hurry && !cached, m.price, !cached, m.free.gpus, m.free.cpus, i};
+  }
 
-void place_singly(Picture& p, std::size_t j, Decisions& out) {
-  JobView& job = p.jobs[j];
-  std::vector<Placement> placed = place(p, job, job.pending, nullptr);
-  if (placed.empty()) return;
-  job.pending.erase(job.pending.begin(),
-                    job.pending.begin() + static_cast<std::ptrdiff_t>(placed.size()));
-  out.starts.push_back({j, std::move(placed)});
-}
+  // Machines with room for one task of the job, best first. (Once a task is placed, its machine is
+  // the tighter fit, so it stays the best for as long as it has room.)
+  std::vector<Score> candidates(const JobView& job, const std::string* zone) {
+    std::vector<Score> list;
+    for (Pool& pool : pools_) {
+      const MachineView& like = *pool.like;
+      if ((zone && like.zone != *zone) || !allowed(job, like.type, like.zone, like.spot)) continue;
+      if (std::any_of(pool.hopeless.begin(), pool.hopeless.end(),
+                      [&](const Need& n) { return n.fits_in(job.need); }))
+        continue;
+      bool room = false;
+      for (const std::size_t i : pool.machines) {
+        const MachineView& m = p_.machines[i];
+        ++out_.looked_at;
+        if (!job.need.fits_in(m.free)) continue;
+        room = true;
+        if (!m.claimed_by.empty() && m.claimed_by != job.id) continue;
+        if (job.avoid.count(i) == 0) list.push_back(score(job, i));
+      }
+      if (!room && pool.hopeless.size() < kMostHopeless) pool.hopeless.push_back(job.need);
+    }
+    std::sort(list.begin(), list.end());
+    return list;
+  }
 
-// Permit: the gang starts when every task has its place; short of that it waits, holding what it
-// has.
-void place_gang(Picture& p, std::size_t j, Decisions& out) {
-  JobView& job = p.jobs[j];
-  // What was held is released and placed afresh: the room is still there, and a better whole may
-  // now exist.
-  undo(p, job, job.held);
-  job.held.clear();
-
-  std::vector<std::string> zones;
-  if (job.one_zone) {
-    std::set<std::string> names;
-    for (const MachineView& m : p.machines)
-      if (m.open) names.insert(m.zone);
-    zones.assign(names.begin(), names.end());
-  } else {
-    zones.push_back("");
+  // Reserve / unreserve.
+  void take(const JobView& job, std::size_t machine) {
+    p_.machines[machine].free -= job.need;
+    TeamView& team = p_.teams[job.team];
+    team.cpus += job.need.cpus;
+    team.gpus += job.need.gpus;
   }
-  std::vector<Placement> best;
-  double best_cost = std::numeric_limits<double>::infinity();
-  for (const std::string& zone : zones) {
-    std::vector<Placement> tried = place(p, job, job.pending, job.one_zone ? &zone : nullptr);
-    double cost = 0;
-    for (const Placement& x : tried) {
-      const MachineView& m = p.machines[x.machine];
-      cost += m.price * (m.images.count(job.image) != 0 ? 1 : 2);
+
+  void undo(const JobView& job, const std::vector<Placement>& placements) {
+    TeamView& team = p_.teams[job.team];
+    for (const Placement& x : placements) {
+      p_.machines[x.machine].free += job.need;
+      team.cpus -= job.need.cpus;
+      team.gpus -= job.need.gpus;
     }
-    undo(p, job, tried);
-    if (tried.size() > best.size() || (tried.size() == best.size() && cost < best_cost)) {
-      best = std::move(tried);
-      best_cost = cost;
+  }
+
+  // Places as many of the pending tasks as go, in `zone` if named, and reserves their room.
+  std::vector<Placement> place(const JobView& job, const std::string* zone) {
+    Zones placed = job.placed;
+    std::vector<Placement> result;
+    const std::size_t most =
+        std::min<std::size_t>(job.pending.size(), p_.teams[job.team].allows(job.need));
+    if (most == 0) return result;
+    for (const Score& c : candidates(job, zone)) {
+      const std::size_t i = std::get<std::size_t>(c);
+      const MachineView& m = p_.machines[i];
+      while (result.size() < most && job.need.fits_in(m.free) && zone_allows(job, placed, m.zone)) {
+        take(job, i);
+        ++placed[m.zone];
+        result.push_back({job.pending[result.size()], i});
+      }
+      if (result.size() == most) break;
     }
+    return result;
   }
-  if (best.empty()) return;
-  const bool whole = best.size() == job.pending.size();
-  if (!whole && job.whole_only) return;
-  for (const Placement& x : best) take(p, job, x.machine);
-  if (whole) {
-    job.pending.clear();
-    out.starts.push_back({j, std::move(best)});
-  } else {
-    job.held = best;
-    out.holds.push_back({j, std::move(best)});
+
+  void place_singly(std::size_t j) {
+    JobView& job = p_.jobs[j];
+    std::vector<Placement> placed = place(job, nullptr);
+    if (placed.empty()) return;
+    job.pending.erase(job.pending.begin(),
+                      job.pending.begin() + static_cast<std::ptrdiff_t>(placed.size()));
+    out_.starts.push_back({j, std::move(placed)});
   }
-}
 
-// Preemption: an urgent job that found no place has room cleared for it, a machine for each task it
-// lacks, where the fewest tasks of lower priority must stop. It starts there by a later pass, like
-// any other; until then nobody else takes that room.
-void clear_room(Picture& p, std::size_t j, Decisions& out) {
-  const JobView& job = p.jobs[j];
-  std::uint32_t lacks = static_cast<std::uint32_t>(job.pending.size() - job.held.size());
-  if (lacks > p.teams[job.team].allows(job.need)) return;
-  for (const MachineView& m : p.machines) lacks -= m.claimed_by == job.id && lacks > 0 ? 1 : 0;
-  Zones placed = job.placed;
-  for (const Placement& x : job.held) ++placed[p.machines[x.machine].zone];
-  while (lacks > 0) {
-    Eviction best;
-    std::pair<bool, std::size_t> best_cost;
-    for (std::size_t i = 0; i < p.machines.size(); ++i) {
-      const MachineView& m = p.machines[i];
-      if (!m.open || !m.claimed_by.empty() || !allowed(job, m.type, m.zone, m.spot)) continue;
-      if (!zone_allows(job, placed, m.zone) || job.avoid.count(i) != 0) continue;
-      Eviction e{i, j, {}};
-      Need room = m.free;
-      for (const Victim& v : m.victims) {
-        if (job.need.fits_in(room)) break;
-        if (v.priority <= job.priority) continue;
-        room += v.need;
-        e.tasks.push_back(v);
+  // Permit: the gang starts when every task has its place; short of that it waits, holding what it
+  // has.
+  void place_gang(std::size_t j) {
+    JobView& job = p_.jobs[j];
+    // What was held is released and placed afresh: the room is still there, and a better whole may
+    // now exist.
+    if (!job.held.empty()) {
+      undo(job, job.held);
+      job.held.clear();
+      for (Pool& pool : pools_) pool.hopeless.clear();
+    }
+    std::set<std::string> zones;
+    if (job.one_zone && !job.kept_zone) {
+      for (const Pool& pool : pools_) zones.insert(pool.like->zone);
+    } else {
+      zones.insert(job.kept_zone.value_or(""));
+    }
+    std::vector<Placement> best;
+    double best_cost = std::numeric_limits<double>::infinity();
+    for (const std::string& zone : zones) {
+      std::vector<Placement> tried = place(job, zone.empty() ? nullptr : &zone);
+      double cost = 0;
+      for (const Placement& x : tried) {
+        const MachineView& m = p_.machines[x.machine];
+        cost += m.price * (m.images.count(job.image) != 0 ? 1 : 2);
       }
-      if (e.tasks.empty() || !job.need.fits_in(room)) continue;
-      // A fetch takes longer than stopping one task more.
-      const auto cost = std::make_pair(m.images.count(job.image) == 0, e.tasks.size());
-      if (best.tasks.empty() || cost < best_cost) {
-        best = std::move(e);
+      undo(job, tried);
+      if (tried.size() > best.size() || (tried.size() == best.size() && cost < best_cost)) {
+        best = std::move(tried);
         best_cost = cost;
       }
     }
-    if (best.tasks.empty()) return;
-    p.machines[best.machine].claimed_by = job.id;
-    ++placed[p.machines[best.machine].zone];
-    out.evictions.push_back(std::move(best));
-    --lacks;
+    if (best.empty()) return;
+    const bool whole = best.size() == job.pending.size();
+    if (!whole && job.whole_only) return;
+    for (const Placement& x : best) take(job, x.machine);
+    if (whole) {
+      job.pending.clear();
+      out_.starts.push_back({j, std::move(best)});
+    } else {
+      job.held = best;
+      out_.holds.push_back({j, std::move(best)});
+    }
   }
-}
+
+  // Preemption: a job in a hurry that found no place has room cleared for it, where the fewest
+  // tasks must stop. It starts there by a later pass, like any other; until then nobody else takes
+  // that room. A gang of one zone has none cleared where it could not become whole.
+  void clear_room(std::size_t j) {
+    const JobView& job = p_.jobs[j];
+    std::size_t lacks = job.pending.size() - job.held.size();
+    if (job.kind == wire::JobKind::gang) {
+      if (lacks > p_.teams[job.team].allows(job.need)) return;
+    } else {
+      lacks = std::min<std::size_t>(lacks, p_.teams[job.team].allows(job.need));
+    }
+    Zones placed = job.placed;
+    for (const Placement& x : job.held) ++placed[p_.machines[x.machine].zone];
+    struct Option {
+      std::size_t cost = 0, machine = 0, fits = 0;
+      std::vector<Victim> tasks;
+    };
+    std::vector<Option> options;
+    std::map<std::string, std::size_t> room;  // by zone: tasks that could be placed there
+    for (const Pool& pool : pools_) {
+      const MachineView& like = *pool.like;
+      if (!allowed(job, like.type, like.zone, like.spot)) continue;
+      if (!zone_allows(job, placed, like.zone)) continue;
+      for (const std::size_t i : pool.machines) {
+        const MachineView& m = p_.machines[i];
+        ++out_.looked_at;
+        if (m.claimed_by == job.id) {
+          const std::size_t n = capacity(job.need, m.total);
+          lacks -= std::min(lacks, n);
+          if (lacks == 0) return;
+        }
+        if (!m.claimed_by.empty() || m.victims.empty() || job.avoid.count(i) != 0) continue;
+        Option o;
+        o.machine = i;
+        Need left = m.free;
+        const std::size_t most = job.kind == wire::JobKind::gang ? 1 : lacks;
+        for (const Victim& v : m.victims) {
+          if (job.need.fits_in(left)) {
+            left -= job.need;
+            if (++o.fits == most) break;
+          }
+          if (v.priority <= job.priority) continue;
+          left += v.need;
+          o.tasks.push_back(v);
+        }
+        if (o.fits < most && job.need.fits_in(left)) ++o.fits;
+        if (o.tasks.empty() || o.fits == 0) continue;
+        // A fetch takes longer than stopping some tasks more.
+        o.cost = o.tasks.size() + (m.images.count(job.image) == 0 ? 1000 : 0);
+        room[m.zone] += o.fits;
+        options.push_back(std::move(o));
+      }
+    }
+    std::sort(options.begin(), options.end(), [](const Option& a, const Option& b) {
+      return std::tie(a.cost, a.machine) < std::tie(b.cost, b.machine);
+    });
+    const bool whole = job.kind == wire::JobKind::gang && job.one_zone;
+    for (Option& o : options) {
+      if (lacks == 0) return;
+      MachineView& m = p_.machines[o.machine];
+      if (!zone_allows(job, placed, m.zone) || (whole && room[m.zone] < lacks)) continue;
+      m.claimed_by = job.id;
+      placed[m.zone] += static_cast<std::uint32_t>(o.fits);
+      lacks -= std::min(lacks, o.fits);
+      out_.evictions.push_back({o.machine, j, std::move(o.tasks)});
+    }
+  }
+
+  Picture& p_;
+  std::vector<Pool> pools_;
+  Decisions out_;
+};
 
 }  // namespace
 
@@ -230,18 +314,14 @@
   return true;
 }
 
-Decisions pass(Picture& p) {
-  Decisions out;
-  for (const std::size_t j : queue_order(p.jobs)) {
-    JobView& job = p.jobs[j];
-    if (job.blocked || job.pending.empty()) continue;
-    if (job.kind == wire::JobKind::gang)
-      place_gang(p, j, out);
-    else
-      place_singly(p, j, out);
-    if (job.urgent && !job.pending.empty()) clear_room(p, j, out);
-  }
-  return out;
+std::uint32_t capacity(const Need& need, const Need& total) {
+  double n = wire::kMaxTasks;
+  if (need.cpus > 0) n = std::min(n, total.cpus / need.cpus + 1e-9);
+  if (need.gpus > 0) n = std::min(n, total.gpus / need.gpus + 1e-9);
+  if (need.memory_gb > 0) n = std::min(n, total.memory_gb / need.memory_gb + 1e-9);
+  return static_cast<std::uint32_t>(std::floor(n));
 }
 
+Decisions pass(Picture& picture) { return Pass(picture).run(); }
+
 }  // namespace seampass::sched
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -37,6 +37,9 @@
 
 inline Need need_of(const wire::Job& j) { return {j.cpus, j.gpus, j.memory_gb}; }
 
+// How many tasks of this need an empty machine takes.
+std::uint32_t capacity(const Need& need, const Need& total);
+
 // A running task that may be stopped for work of a higher priority: it saves its progress.
 struct Victim {
   std::string job;
@@ -76,6 +79,8 @@
   bool one_zone = false, spread = false, spot = false;
   std::string image;
   bool urgent = false;  // its class has a short start aim: a cached image counts before the price
+  // It fits into its team's guarantee together with the team's earlier unfinished jobs.
+  bool guaranteed = false;
   // For how many seconds its start may wait for room that is in use, rather than new machines.
   double patience_s = 0;
   std::uint32_t tasks = 0;
@@ -84,6 +89,7 @@
   std::set<std::size_t> avoid;  // machines that must not be given a task of this job now
   bool blocked = false;         // nothing may be placed now
   bool whole_only = false;      // a gang that timed out once: hold nothing short of its minimum
+  std::optional<std::string> kept_zone;  // the one zone where a large gang's room is kept
   std::vector<Placement> held;
 };
 
@@ -105,6 +111,7 @@
 struct Picture {
   std::vector<MachineView> machines;
   std::vector<JobView> jobs;
+  std::vector<MachineView> asked;  // rentals not answered yet: nameless, booting
   std::map<std::string, TeamView> teams;
   MachineChoice choice = MachineChoice::scored;
 };
@@ -122,7 +129,8 @@
 struct Decisions {
   std::vector<Eviction> evictions;
   std::vector<Batch> starts;
-  std::vector<Batch> holds;  // each gang's whole new set; a gang not named holds nothing
+  std::vector<Batch> holds;   // each gang's whole new set; a gang not named holds nothing
+  std::size_t looked_at = 0;  // machines compared with a job: the work that this pass was
 };
 
 // Queue sort: priority, turn (the exception of docs/design.md), creation time, id.
@@ -161,7 +169,7 @@
 
 // Which machines to rent for what a pass left pending, after room that is booting is counted, and
 // which to rent or keep for what is expected.
-MachinePlan plan_machines(Picture picture, const std::vector<RentalOption>& options,
+MachinePlan plan_machines(const Picture& picture, const std::vector<RentalOption>& options,
                           const std::vector<Spare>& spares);
 
 }  // namespace seampass::sched
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -1,26 +1,21 @@
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <limits>
-#include <numeric>
+#include <tuple>
 
 #include "sched/picture.h"
 
 namespace seampass::sched {
 namespace {
 
-// How many tasks of this need an empty machine takes.
-std::uint32_t capacity(const Need& need, const Need& total) {
-  double n = wire::kMaxTasks;
-  if (need.cpus > 0) n = std::min(n, total.cpus / need.cpus + 1e-9);
-  if (need.gpus > 0) n = std::min(n, total.gpus / need.gpus + 1e-9);
-  if (need.memory_gb > 0) n = std::min(n, total.memory_gb / need.memory_gb + 1e-9);
-  return static_cast<std::uint32_t>(std::floor(n));
-}
-
 class Planner {
  public:
-  Planner(Picture p, const std::vector<RentalOption>& options)
-      : p_(std::move(p)), options_(options), counts_(options.size(), 0) {}
+  Planner(const Picture& p, const std::vector<RentalOption>& options)
+      : p_(p), teams_(p.teams), options_(options), counts_(options.size(), 0) {
+    for (std::size_t i = 0; i < p.machines.size(); ++i) add(p.machines[i], i);
+    for (const MachineView& m : p.asked) add(m, p.machines.size());
+  }
 
   MachinePlan run(const std::vector<Spare>& spares) {
     for (const std::size_t j : queue_order(p_.jobs)) {
@@ -39,72 +34,129 @@
   }
 
  private:
+  // What this plan needs of a machine, and what it has given away of it.
+  struct Room {
+    const MachineView* m;
+    std::size_t index;
+    Need free;
+  };
+
+  void add(const MachineView& m, std::size_t index) {
+    if (!m.claimed_by.empty()) claimed_[m.claimed_by].push_back(&m);
+    if (m.open && !m.releases.empty()) releasing_.push_back(rooms_.size());
+    if (m.booting) booting_.push_back(rooms_.size());
+    if (m.open || m.booting) rooms_.push_back({&m, index, m.free});
+  }
+
+  static Need coming(const JobView& job, const Room& r) {
+    Need n = r.free;
+    for (const auto& [in_s, need] : r.m->releases)
+      if (in_s <= job.patience_s) n += need;
+    return n;
+  }
+
+  // A gang of one zone goes where it lacks least; what it lacks must be for rent there.
+  std::string best_zone(const JobView& job, std::uint32_t left) const {
+    std::map<std::string, std::uint32_t> there;
+    for (const RentalOption& o : options_) there.try_emplace(o.zone, 0);
+    for (const std::size_t i : releasing_) {
+      const MachineView& m = *rooms_[i].m;
+      if (allowed(job, m.type, m.zone, m.spot))
+        there[m.zone] += job.need.fits_in(coming(job, rooms_[i])) ? 1 : 0;
+    }
+    for (const std::size_t i : booting_) {
+      const MachineView& m = *rooms_[i].m;
+      if (allowed(job, m.type, m.zone, m.spot))
+        there[m.zone] += job.need.fits_in(rooms_[i].free) ? 1 : 0;
+    }
+    std::string best;
+    std::tuple<bool, double, double> best_cost;
+    for (const auto& [zone, n] : there) {
+      const double lacks = left - std::min(left, n);
+      double price = std::numeric_limits<double>::infinity();
+      for (const RentalOption& o : options_)
+        if (o.zone == zone && allowed(job, o.type, o.zone, o.spot) &&
+            capacity(job.need, o.total) > 0)
+          price = std::min(price, o.price);
+      const bool never = lacks > 0 && !std::isfinite(price);
+      const auto cost = std::make_tuple(never, lacks, never ? 0 : lacks * price);
+      if (best.empty() || cost < best_cost) {
+        best = zone;
+        best_cost = cost;
+      }
+    }
+    return best;
+  }
+
   // Finds a place for what the job still lacks: on room that is on its way, else on rented room.
   // A spare may also use what is open and free.
   void settle(const JobView& job, bool spare, double& budget, double dearest) {
-    // Room that is being cleared for it.
-    std::uint32_t claimed = 0;
-    for (const MachineView& m : p_.machines) claimed += !spare && m.claimed_by == job.id ? 1 : 0;
     TeamView unlimited;
-    TeamView& team = spare ? unlimited : p_.teams[job.team];
+    TeamView& team = spare ? unlimited : teams_[job.team];
     auto left = static_cast<std::uint32_t>(job.pending.size() - job.held.size());
     // Held tasks are in the team's use already.
     left = std::min(left, team.allows(job.need));
     if (job.kind == wire::JobKind::gang && left < job.pending.size() - job.held.size()) return;
-    left -= std::min(left, claimed);
+    // Room that is being cleared for it.
+    if (const auto c = claimed_.find(job.id); !spare && c != claimed_.end())
+      for (const MachineView* m : c->second)
+        left -= std::min(left, job.kind == wire::JobKind::gang ? 1 : capacity(job.need, m->total));
+    if (left == 0) return;
     team.cpus += left * job.need.cpus;
     team.gpus += left * job.need.gpus;
 
     std::map<std::string, std::uint32_t> placed = job.placed;
     for (const Placement& x : job.held) ++placed[p_.machines[x.machine].zone];
-    std::string only = job.zone.value_or("");
-    if (job.one_zone && only.empty())
+    std::string only = job.zone.value_or(job.kept_zone.value_or(""));
+    if (job.one_zone && only.empty()) {
       for (const auto& [zone, n] : placed)
         if (n > 0) only = zone;
+      if (only.empty() && !spare) only = best_zone(job, left);
+    }
     const auto zone_ok = [&](const std::string& zone) {
       if (!only.empty() && zone != only) return false;
       if (!job.spread) return true;
       const auto it = placed.find(zone);
       return it == placed.end() || it->second < (job.tasks + 1) / 2;
     };
-    const auto take = [&](MachineView& m) {
-      m.free -= job.need;
-      ++placed[m.zone];
-      if (job.one_zone) only = m.zone;
+    const auto take = [&](Room& r) {
+      r.free -= job.need;
+      ++placed[r.m->zone];
       --left;
     };
 
     // Room that comes free in time costs nothing more.
-    for (MachineView& m : p_.machines) {
-      if (left == 0) break;
-      if (spare || !m.open || m.releases.empty() || !allowed(job, m.type, m.zone, m.spot)) continue;
-      Need coming = m.free;
-      for (const auto& [in_s, need] : m.releases)
-        if (in_s <= job.patience_s) coming += need;
-      while (left > 0 && job.need.fits_in(coming) && zone_ok(m.zone)) {
-        coming -= job.need;
-        take(m);  // leaves m.free below zero: a promise on what comes free
+    for (const std::size_t i : releasing_) {
+      if (left == 0 || spare) break;
+      Room& r = rooms_[i];
+      if (!allowed(job, r.m->type, r.m->zone, r.m->spot)) continue;
+      Need next = coming(job, r);
+      while (left > 0 && job.need.fits_in(next) && zone_ok(r.m->zone)) {
+        next -= job.need;
+        take(r);  // leaves its free room below zero: a promise on what comes free
       }
     }
     // A spare is kept where it costs least.
-    std::vector<std::size_t> order(p_.machines.size());
-    std::iota(order.begin(), order.end(), 0);
-    if (spare)
+    std::vector<std::size_t> order;
+    if (spare) {
+      for (std::size_t i = 0; i < rooms_.size(); ++i) order.push_back(i);
       std::stable_sort(order.begin(), order.end(), [this](std::size_t a, std::size_t b) {
-        return p_.machines[a].price < p_.machines[b].price;
+        return rooms_[a].m->price < rooms_[b].m->price;
       });
-    for (const std::size_t i : order) {
-      MachineView& m = p_.machines[i];
-      if (!(m.booting || (spare && m.open)) || !allowed(job, m.type, m.zone, m.spot)) continue;
-      if (m.price > dearest) continue;
-      while (left > 0 && job.need.fits_in(m.free) && zone_ok(m.zone)) {
-        if (spare && m.open && plan_.keep.count(i) == 0) {
-          const bool idle = m.free.cpus >= m.total.cpus && m.free.gpus >= m.total.gpus;
+    }
+    for (const std::size_t i : spare ? order : booting_) {
+      if (left == 0) break;
+      Room& r = rooms_[i];
+      const MachineView& m = *r.m;
+      if (m.price > dearest || !allowed(job, m.type, m.zone, m.spot)) continue;
+      while (left > 0 && job.need.fits_in(r.free) && zone_ok(m.zone)) {
+        if (spare && m.open && plan_.keep.count(r.index) == 0) {
+          const bool idle = r.free.cpus >= m.total.cpus && r.free.gpus >= m.total.gpus;
           if (idle && m.price > budget) break;
           if (idle) budget -= m.price;
-          plan_.keep.insert(i);
+          plan_.keep.insert(r.index);
         }
-        take(m);
+        take(r);
       }
     }
     while (left > 0) {
@@ -125,28 +177,35 @@
       const RentalOption& o = options_[best];
       ++counts_[best];
       budget -= o.price;
-      MachineView m;
+      MachineView& m = rented_.emplace_back();
       m.type = o.type;
       m.zone = o.zone;
       m.spot = o.spot;
-      m.booting = true;
+      m.price = o.price;
       m.total = m.free = o.total;
-      while (left > 0 && job.need.fits_in(m.free) && zone_ok(m.zone)) take(m);
-      p_.machines.push_back(std::move(m));
+      booting_.push_back(rooms_.size());
+      rooms_.push_back({&m, p_.machines.size(), o.total});
+      while (left > 0 && job.need.fits_in(rooms_.back().free) && zone_ok(o.zone))
+        take(rooms_.back());
     }
   }
 
-  Picture p_;
+  const Picture& p_;
+  std::map<std::string, TeamView> teams_;
   const std::vector<RentalOption>& options_;
   std::vector<int> counts_;
+  std::vector<Room> rooms_;
+  std::vector<std::size_t> releasing_, booting_;  // indices into rooms_
+  std::deque<MachineView> rented_;
+  std::map<std::string, std::vector<const MachineView*>> claimed_;
   MachinePlan plan_;
 };
 
 }  // namespace
 
-MachinePlan plan_machines(Picture picture, const std::vector<RentalOption>& options,
+MachinePlan plan_machines(const Picture& picture, const std::vector<RentalOption>& options,
                           const std::vector<Spare>& spares) {
-  return Planner(std::move(picture), options).run(spares);
+  return Planner(picture, options).run(spares);
 }
 
 }  // namespace seampass::sched
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -11,6 +11,19 @@
 const std::optional<std::vector<std::string>> kAny;
 const std::optional<std::vector<std::string>> kOnlyBig = std::vector<std::string>{"big"};
 
+JobView waiting(const std::string& id, wire::JobKind kind, std::uint32_t tasks, Need need) {
+  JobView j;
+  j.id = id;
+  j.team = "red";
+  j.kind = kind;
+  j.need = need;
+  j.types = &kAny;
+  j.tasks = tasks;
+  j.spot = true;
+  for (std::uint32_t t = 0; t < tasks; ++t) j.pending.push_back(t);
+  return j;
+}
+
 Picture random_picture(std::mt19937& random, MachineChoice choice) {
   const auto pick = [&](unsigned n) { return static_cast<unsigned>(random() % n); };
   Picture p;
@@ -61,6 +74,7 @@
     if (pick(5) == 0) j.avoid.insert(pick(machines));
     j.blocked = pick(8) == 0;
     j.whole_only = pick(4) == 0;
+    if (j.one_zone && pick(6) == 0) j.kept_zone = "c";
     p.jobs.push_back(j);
   }
   return p;
@@ -86,6 +100,50 @@
   EXPECT_GT(held, 300);
 }
 
+// At the size of a large deployment: the same decisions as the plain model's, at a cost that goes
+// by machines and jobs, not by machines times tasks.
+TEST(Sched, LooksAtFewMachinesInALargeCluster) {
+  std::mt19937 random(8);
+  const auto pick = [&](unsigned n) { return static_cast<unsigned>(random() % n); };
+  Picture p;
+  p.choice = MachineChoice::first_fit;
+  p.teams["red"];
+  for (int i = 0; i < 1300; ++i) {
+    MachineView m;
+    m.name = "m" + std::to_string(i);
+    m.type = pick(2) ? "big" : "small";
+    m.zone = std::string(1, static_cast<char>('a' + pick(3)));
+    m.open = true;
+    m.total = {16, 4, 64};
+    // Nearly all are full, as machines of a busy cluster are; some room is left over on each.
+    m.free = pick(40) == 0 ? m.total : Need{pick(3) * 1.0, 0, 8};
+    p.machines.push_back(m);
+  }
+  std::size_t tasks = 0;
+  for (int i = 0; i < 60; ++i) {
+    JobView j = waiting("wk-" + std::to_string(100 + i),
+                        pick(2) ? wire::JobKind::gang : wire::JobKind::array, 1 + pick(12),
+                        {4.0 + pick(4), 1, 8});
+    j.one_zone = j.kind == wire::JobKind::gang;
+    j.created_ms = pick(50);
+    tasks += j.tasks;
+    p.jobs.push_back(j);
+  }
+  const Picture before = p;
+  const Decisions d = pass(p);
+  std::vector<model::Placed> real;
+  for (const Batch& b : d.starts)
+    for (const Placement& x : b.tasks) real.push_back({b.job, x.task, x.machine, false});
+  for (const Batch& b : d.holds)
+    for (const Placement& x : b.tasks) real.push_back({b.job, x.task, x.machine, true});
+  std::sort(real.begin(), real.end());
+  EXPECT_EQ(real, model::PlainScheduler(before).run());
+  EXPECT_GT(real.size(), 30u);
+  EXPECT_LT(d.looked_at,
+            p.machines.size() * 16);  // a look at each machine for each task is 300 times
+  EXPECT_GT(tasks, 300u);
+}
+
 // Scored choice puts tasks elsewhere, but under the same limits.
 TEST(Sched, ScoredChoiceKeepsEveryLimit) {
   std::mt19937 random(99);
@@ -141,19 +199,6 @@
   EXPECT_EQ(queue_order(jobs), (std::vector<std::size_t>{2, 1, 0, 3}));
 }
 
-JobView waiting(const std::string& id, wire::JobKind kind, std::uint32_t tasks, Need need) {
-  JobView j;
-  j.id = id;
-  j.team = "red";
-  j.kind = kind;
-  j.need = need;
-  j.types = &kAny;
-  j.tasks = tasks;
-  j.spot = true;
-  for (std::uint32_t t = 0; t < tasks; ++t) j.pending.push_back(t);
-  return j;
-}
-
 TEST(Sched, RentsTheCheapestThatFitsAndCountsWhatIsBooting) {
   const std::vector<RentalOption> options = {{"big", "a", false, 4, {16, 4, 64}},
                                              {"big", "b", true, 1.5, {16, 4, 64}},
