--- a/src/leader/fleet.cc
+++ b/src/leader/fleet.cc
@@ -142,10 +142,12 @@
     if (m.deleting) continue;
     const wire::MachineType* type = types_.find(m.type);
     if (!m.up) {
-      // Not heard yet: booting, or gone for good.
+      // Not heard yet: booting, gone for good, or up for long and about to find this leader, which
+      // takes a worker up to a report's interval and a try at each other node.
       const double boot = type ? type->boot_s : settings_.lease_s;
-      if (now - std::max(m.since, m.charges.empty() ? m.since : began_) >
-          std::max(net::ms(kBootPatience * boot), m.charges.empty() ? 0 : lease))
+      const Ms patience = net::ms(kBootPatience * boot);
+      if (now - m.since > patience &&
+          now - began_ > (m.charges.empty() ? lease : std::max(lease, patience)))
         doomed.push_back(&m);
       continue;
     }
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -221,6 +221,22 @@
   w.expect_rules();
 }
 
+// A new leader has machines listed that have not found it yet: they are used, not returned.
+TEST(Trouble, NewLeaderReturnsNoMachineBeforeItCanHaveReported) {
+  World w(1, 8);
+  w.cloud.capacity = 8;
+  ASSERT_TRUE(w.settle());
+  for (const char* n : {"n0", "n1", "n2"}) w.kill(n);
+  w.time.run_for(20000);  // longer than three boots
+  for (const char* n : {"n0", "n1", "n2"}) w.start(n);
+  w.time.run_for(150);
+  ASSERT_TRUE(w.settle());
+  ASSERT_EQ(w.submit("n0", array_job("wk-1", 16, 10)).status, 201);
+  EXPECT_TRUE(w.reaches("wk-1", "done", 60000));
+  EXPECT_EQ(w.cloud.rented, 0);
+  w.expect_rules();
+}
+
 // Small gangs come as fast as they end, with two that need most of the zone waiting.
 TEST(Trouble, LargeGangsAreNotStarvedBySmallOnes) {
   World w(1, 0);
