--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -29,6 +29,7 @@
 // Arrivals are counted over this many boot times.
 constexpr double kArrivalWindow = 6;
 constexpr std::size_t kMaxArrivals = 500;
+constexpr double kEndsCounted = 0.5;
 // A spare is kept on no type that costs more than this many times the cheapest that would do.
 constexpr double kSpareDearest = 3;
 
@@ -359,7 +360,16 @@
       }
     const double share = boot / std::max(static_cast<double>(window) / 1000, boot);
     // Tasks of a job come together, so that their number spreads by the square of a job's size.
-    const double expected = tasks * share + std::sqrt(squares * share);
+    // Meanwhile tasks of the class end as well, and leave their room; estimates err, so half of it
+    // is counted on.
+    double ends = 0;
+    for (const auto& [id, job] : jobs_) {
+      if (job->spec.klass != klass) continue;
+      for (const auto& [task, c] : job->charges)
+        if (c.running_since != 0 && now - c.running_since > net::ms(job->spec.estimate_s - boot))
+          ends += kEndsCounted;
+    }
+    const double expected = std::max(0.0, tasks * share - ends) + std::sqrt(squares * share);
     const auto count = static_cast<std::uint32_t>(std::ceil(expected));
     sched::Spare s;
     s.budget = operator_.spare_share * spent;
