--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -149,6 +149,7 @@
   double patience_s(const JobRecord& job) const;
   std::vector<sched::Spare> spares() const;
   void plan();
+  void empty_machines();
   void evict(const sched::Decisions& decisions);
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks);
   void tick();
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -30,6 +30,10 @@
 constexpr double kArrivalWindow = 6;
 constexpr std::size_t kMaxArrivals = 500;
 constexpr double kEndsCounted = 0.5;
+// A task is moved only if it has this many times longer to run than its stop and start take; one in
+// so many machines is emptied in a plan.
+constexpr double kEmptiedWorth = 3;
+constexpr std::size_t kEmptiedShare = 50;
 // A spare is kept on no type that costs more than this many times the cheapest that would do.
 constexpr double kSpareDearest = 3;
 
@@ -60,9 +64,11 @@
     v.free -= need_of(spec);
     // Only what saves, runs, and is not being stopped already.
     if (!c->job->gang() && spec.checkpoint_s > 0 && c->state == TaskState::running && !c->stop)
-      v.victims.push_back({spec.id, c->task, spec.priority, need_of(spec)});
+      v.victims.push_back({spec.id, c->task, spec.priority, need_of(spec), spec.image, spec.spot,
+                           !spec.zone && !spec.one_zone && !spec.spread, 0, spec.save_s});
   }
   v.images = m.images;
+  v.tasks = m.charges.size();
   m.stale = false;
 }
 
@@ -430,6 +436,37 @@
   kept_.clear();
   for (const std::size_t i : plan.keep) kept_.insert(picture_.machines[i].name);
   for (const sched::RentalWish& w : plan.rentals) fleet_.rent(options[w.option], w.count);
+  if (plan.rentals.empty()) empty_machines();
+}
+
+// When nothing waits, the few tasks of a machine are moved together with others, and it is
+// returned.
+void Controller::empty_machines() {
+  const Ms now = runtime_.now();
+  for (sched::MachineView& m : picture_.machines) {
+    for (sched::Victim& v : m.victims) {
+      const auto job = jobs_.find(v.job);
+      if (job == jobs_.end()) continue;
+      const auto c = job->second->charges.find(v.task);
+      if (c == job->second->charges.end()) continue;
+      v.left_s =
+          job->second->spec.estimate_s - static_cast<double>(now - c->second.running_since) / 1000;
+    }
+  }
+  const std::size_t most = 1 + fleet_.machines().size() / kEmptiedShare;
+  std::vector<Charge*> stops;
+  for (const std::size_t i :
+       sched::emptied(picture_, settings_.report_s / 3, kEmptiedWorth, most)) {
+    Machine* m = fleet_.find(picture_.machines[i].name);
+    if (!m || kept_.count(m->name) != 0) continue;
+    m->draining = true;
+    spdlog::debug("emptying {} of {} tasks", m->name, m->charges.size());
+    for (const auto& [key, c] : m->charges) {
+      stop_charge(*c, c->job->spec.save_s + settings_.report_s / 3);
+      stops.push_back(c);
+    }
+  }
+  send_stops(stops);
 }
 
 void Controller::start(JobRecord& job, const std::vector<sched::Placement>& tasks) {
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -46,6 +46,11 @@
   std::uint32_t task = 0;
   wire::Priority priority = wire::Priority::normal;
   Need need;
+  std::string image{};
+  bool spot = false;      // may use spot machines
+  bool anywhere = false;  // no rule ties it to a zone
+  double left_s = 0;      // by its owner's estimate
+  double save_s = 0;
 };
 
 struct MachineView {
@@ -58,6 +63,7 @@
   Need total, free;
   double price = 0;  // an hour
   std::set<std::string> images;
+  std::size_t tasks = 0;                          // on it, in any state
   std::vector<std::pair<double, Need>> releases;  // in how many seconds which room comes free
 };
 
@@ -172,4 +178,11 @@
 MachinePlan plan_machines(const Picture& picture, const std::vector<RentalOption>& options,
                           const std::vector<Spare>& spares);
 
+// Machines whose few tasks have room on fuller machines of their type, with their image: once
+// moved, the machine can be returned. Only where nothing waits, and what is left to run is worth
+// the stop: `worth` times what saving and starting again takes, `restart_s` beside the save. At
+// most `most`.
+std::vector<std::size_t> emptied(const Picture& picture, double restart_s, double worth,
+                                 std::size_t most);
+
 }  // namespace seampass::sched
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -2,6 +2,7 @@
 #include <cmath>
 #include <deque>
 #include <limits>
+#include <set>
 #include <tuple>
 
 #include "sched/picture.h"
@@ -208,4 +209,60 @@
   return Planner(picture, options).run(spares);
 }
 
+std::vector<std::size_t> emptied(const Picture& p, double restart_s, double worth,
+                                 std::size_t most) {
+  std::vector<std::size_t> result;
+  for (const JobView& j : p.jobs)
+    if (!j.blocked && !j.pending.empty()) return result;
+  // The emptiest first: fewest tasks, then the dearest.
+  std::vector<std::size_t> order;
+  for (std::size_t i = 0; i < p.machines.size(); ++i) {
+    const MachineView& m = p.machines[i];
+    if (!m.open || !m.claimed_by.empty() || m.tasks == 0) continue;
+    order.push_back(i);
+  }
+  std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+    return std::make_tuple(p.machines[a].tasks, -p.machines[a].price, a) <
+           std::make_tuple(p.machines[b].tasks, -p.machines[b].price, b);
+  });
+  std::map<std::size_t, Need> free;  // of machines that tasks are moved to
+  std::set<std::size_t> gone;
+  const auto room = [&](std::size_t i) {
+    const auto it = free.find(i);
+    return it == free.end() ? p.machines[i].free : it->second;
+  };
+  for (std::size_t at = 0; at < order.size() && result.size() < most; ++at) {
+    const std::size_t i = order[at];
+    const MachineView& m = p.machines[i];
+    if (m.victims.size() != m.tasks || free.count(i) != 0) continue;
+    std::map<std::size_t, Need> taken;
+    bool all = true;
+    for (const Victim& v : m.victims) {
+      all = v.anywhere && v.left_s > worth * (v.save_s + restart_s);
+      if (!all) break;
+      bool placed = false;
+      // The fullest last in the order: looked at first.
+      for (std::size_t k = order.size(); k-- > at + 1 && !placed;) {
+        const std::size_t to = order[k];
+        const MachineView& other = p.machines[to];
+        if (other.type != m.type || gone.count(to) != 0) continue;
+        if ((other.spot && !v.spot) || other.images.count(v.image) == 0) continue;
+        const auto before = taken.find(to);
+        const Need left = before == taken.end() ? room(to) : before->second;
+        if (!v.need.fits_in(left)) continue;
+        taken[to] = left;
+        taken[to] -= v.need;
+        placed = true;
+      }
+      all = placed;
+      if (!all) break;
+    }
+    if (!all) continue;
+    for (const auto& [to, left] : taken) free[to] = left;
+    gone.insert(i);
+    result.push_back(i);
+  }
+  return result;
+}
+
 }  // namespace seampass::sched
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -274,6 +274,42 @@
   EXPECT_TRUE(after.evictions.empty());
 }
 
+TEST(Sched, EmptiesMachinesOnlyWhereTheirTasksFitOnFullerOnes) {
+  Picture p;
+  MachineView m;
+  m.type = "big";
+  m.zone = "a";
+  m.open = true;
+  m.total = {8, 4, 64};
+  m.images = {"i0"};
+  const Victim task{"wk-8", 0, wire::Priority::normal, {2, 1, 16}, "i0", false, true, 100, 3};
+  for (std::size_t tasks : {1u, 3u, 2u}) {
+    m.free = m.total;
+    m.tasks = tasks;
+    m.victims.assign(tasks, task);
+    for (std::size_t i = 0; i < tasks; ++i) m.free -= task.need;
+    p.machines.push_back(m);
+  }
+  using Indices = std::vector<std::size_t>;
+  EXPECT_EQ(emptied(p, 1, 3, 9), Indices{0});  // the one task goes to the machine of three
+  Picture other = p;
+  other.machines[0].victims[0].left_s = 11;  // hardly longer than its stop and start
+  EXPECT_EQ(emptied(other, 1, 3, 9), Indices{});
+  other = p;
+  other.machines[1].images.clear();  // the machine of two has the image, and room
+  EXPECT_EQ(emptied(other, 1, 3, 9), Indices{0});
+  other.machines[2].images.clear();
+  EXPECT_EQ(emptied(other, 1, 3, 9), Indices{});
+  other = p;
+  other.machines[1].spot = other.machines[2].spot = true;  // the task may not use those
+  EXPECT_EQ(emptied(other, 1, 3, 9), Indices{});
+  other = p;
+  other.machines[0].tasks = 2;  // one more on it that can't be moved
+  EXPECT_EQ(emptied(other, 1, 3, 9), Indices{});
+  p.jobs.push_back(waiting("wk-1", wire::JobKind::array, 1, {9, 1, 8}));  // somebody waits
+  EXPECT_EQ(emptied(p, 1, 3, 9), Indices{});
+}
+
 TEST(Sched, TeamsAreServedInTurnByShares) {
   std::vector<JobView> jobs;
   for (int i = 0; i < 4; ++i) {  // red asks for much, and first
