Nothing rented in a cut zone; machines emptied only after a boot without waiting

Change: a zone of which three quarters, and more than two, say nothing is left out of the offers until it is heard or a lease is over.

--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -60,7 +60,7 @@
 void Controller::begin() {
   stop();
   active_ = true;
-  began_ = runtime_.now();
+  began_ = waited_ = runtime_.now();
   spdlog::info("leading, warrant {}", election_.warrant());
   ledger_.begin(election_.warrant());
   fleet_.begin(election_.warrant());
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -171,6 +171,7 @@
   bool active_ = false, loaded_ = false, kicked_ = false;
   std::uint64_t term_ = 0;
   net::Ms began_ = 0, last_rental_ = 0, next_pass_ = 0;
+  net::Ms waited_ = 0;  // when a job last found no place
   state::Version watched_ = 0;
   std::map<std::string, std::unique_ptr<JobRecord>> jobs_;
   std::map<std::string, sched::Need> team_use_;
--- a/src/leader/fleet.cc
+++ b/src/leader/fleet.cc
@@ -39,6 +39,7 @@
   deleted_.clear();
   asked_.clear();
   refused_until_.clear();
+  cut_until_.clear();
   deletion_busy_ = false;
 }
 
@@ -120,6 +121,7 @@
       m.spot = l.spot;
     }
     if (fresh) m.since = now - net::ms(l.age_s);
+    if (l.stage == wire::MachineStage::running && m.listed_up < 0) m.listed_up = now;
     if (l.stage == wire::MachineStage::failed && !m.deleting) remove(m);
   }
 }
@@ -127,15 +129,30 @@
 void Fleet::tick(const std::set<std::string>& kept) {
   const Ms now = runtime_.now();
   const Ms lease = net::ms(settings_.lease_s);
-  std::map<std::string, int> silent, up;
+  // unheard: up by the list, for long enough to have reported.
+  std::map<std::string, int> silent, up, unheard;
   const auto is_silent = [&](const Machine& m) {
     // Silence is counted from when workers could know of this leader.
     return now - std::max(m.heard, began_) > lease * 3 / 5;
   };
   for (const auto& [name, m] : machines_) {
-    if (!m.up || m.deleting) continue;
-    ++up[m.zone];
-    if (is_silent(m)) ++silent[m.zone];
+    if (m.deleting || m.zone.empty()) continue;
+    if (m.up) {
+      ++up[m.zone];
+      silent[m.zone] += is_silent(m) ? 1 : 0;
+    } else if (m.listed_up >= 0 && now - std::max(m.listed_up, m.heard) > lease / 2) {
+      ++unheard[m.zone];
+    }
+  }
+  for (const auto& zones : {up, unheard}) {
+    for (const auto& [zone, n] : zones) {
+      const int mute = silent[zone] + unheard[zone];
+      // (A few that died together are no cut.)
+      if (mute > 2 && mute * 4 > (up[zone] + unheard[zone]) * 3)
+        cut_until_[zone] = now + lease;
+      else if (up[zone] > silent[zone])
+        cut_until_.erase(zone);
+    }
   }
   std::vector<Machine*> doomed;
   for (auto& [name, m] : machines_) {
@@ -176,13 +193,16 @@
   std::vector<sched::RentalOption> list;
   const Ms now = runtime_.now();
   for (const auto& [name, t] : types_.types())
-    for (const std::string& zone : t.zones)
+    for (const std::string& zone : t.zones) {
+      const auto cut = cut_until_.find(zone);
+      if (cut != cut_until_.end() && now < cut->second) continue;
       for (const bool spot : {true, false}) {
         const auto it = refused_until_.find({name, zone, spot});
         if (it != refused_until_.end() && now < it->second) continue;
         list.push_back(
             {name, zone, spot, spot ? t.spot_price : t.price, {t.cpus, t.gpus, t.memory_gb}});
       }
+    }
   return list;
 }
 
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -31,6 +31,7 @@
   net::Ms since = 0;                  // rented, as far as known
   net::Ms heard = -1;                 // last check-in that this leader may have answered; -1: none
   net::Ms met = -1;                   // first check-in of this term; -1: none
+  net::Ms listed_up = -1;             // first listed as running in this term; -1: not yet
   std::optional<net::Ms> deaf_since;  // the first command without an answer since the last with one
   std::uint64_t session = 0, seq = 0, token = 0;
   std::optional<net::Ms> taken_at;  // spot notice
@@ -103,6 +104,8 @@
   bool deletion_busy_ = false;
   std::map<std::string, Asked> asked_;
   std::map<std::tuple<std::string, std::string, bool>, net::Ms> refused_until_;
+  // Zones that look cut off: nothing is rented where it could not be heard.
+  std::map<std::string, net::Ms> cut_until_;
 };
 
 }  // namespace seampass::leader
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -228,7 +228,6 @@
     JobRecord& job = *jobs[j];
     sched::JobView& v = picture_.jobs[j];
     if (!job.gang() || !v.one_zone || !job.whole_only || v.blocked) continue;
-    if (taken.size() == settings_.zones.size()) break;
     const bool late = now - job.kept_since > net::ms(kKeptBoots * longest_boot_s());
     if (job.kept_zone.empty() || late || taken.count(job.kept_zone) != 0) {
       std::map<std::string, std::uint32_t>
@@ -436,7 +435,11 @@
   kept_.clear();
   for (const std::size_t i : plan.keep) kept_.insert(picture_.machines[i].name);
   for (const sched::RentalWish& w : plan.rentals) fleet_.rent(options[w.option], w.count);
-  if (plan.rentals.empty()) empty_machines();
+  // (Where jobs wait now and then, the next would wait for the machine that was just returned.)
+  if (std::any_of(picture_.jobs.begin(), picture_.jobs.end(),
+                  [](const sched::JobView& j) { return !j.pending.empty(); }))
+    waited_ = now;
+  if (now - waited_ > net::ms(longest_boot_s())) empty_machines();
 }
 
 // When nothing waits, the few tasks of a machine are moved together with others, and it is
--- a/tests/standins/workers.h
+++ b/tests/standins/workers.h
@@ -295,6 +295,7 @@
   bool down = false;
   int capacity = 20;
   int rented = 0;
+  std::map<std::string, int> rented_in;  // by zone
   std::map<std::string, std::unique_ptr<Worker>> machines;
 
   std::string boot(const std::string& type, const std::string& zone, bool spot, Ms delay) {
@@ -332,6 +333,7 @@
             std::min<int>(o.at("count").get<int>(), capacity - static_cast<int>(listed_.size()));
         if (n <= 0) return answer({503, R"({"error":"no capacity"})", 0});
         rented += n;
+        rented_in[o.at("cellar")] += n;
         while (n-- > 0)
           asked_[ask].push_back(boot(o.at("barrel"), o.at("cellar"), o.at("lent_racks"), 3000));
       }
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -237,6 +237,35 @@
   w.expect_rules();
 }
 
+// A zone falls silent as a whole: what is rented meanwhile is rented elsewhere.
+TEST(Trouble, NothingIsRentedInAZoneThatIsCutOff) {
+  World w(1, 8);
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 16, 120));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  w.time.run_for(3000);
+  // Machines of odd number are in zone a, which is tried first where prices are the same.
+  const std::set<std::string> there{"m-000001", "m-000003", "m-000005", "m-000007"};
+  w.net.set_rule([there](const std::string& from, const net::Call& c) {
+    Fate f;
+    f.never = there.count(from) != 0 || there.count(c.endpoint.substr(0, 8)) != 0;
+    return f;
+  });
+  w.time.run_for(14000);  // silence takes a while to tell from a lost packet
+  w.cloud.rented_in.clear();
+  for (int i = 0; i < 6; ++i) {
+    w.submit("n0", array_job("wk-" + std::to_string(10 + i), 2, 30));
+    w.submit("n0", gang_job("wk-" + std::to_string(20 + i), 2, 30));
+    w.time.run_for(5000);
+  }
+  EXPECT_EQ(w.cloud.rented_in["a"], 0);
+  EXPECT_GT(w.cloud.rented_in["b"], 0);
+  w.net.set_rule({});
+  for (int i = 0; i < 6; ++i)
+    EXPECT_TRUE(w.reaches("wk-" + std::to_string(10 + i), "done", 200000));
+  w.expect_rules();
+}
+
 // Small gangs come as fast as they end, with two that need most of the zone waiting.
 TEST(Trouble, LargeGangsAreNotStarvedBySmallOnes) {
   World w(1, 0);
