--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "sched/picture.h"
+
 namespace seampass::jobs {
 
 using net::Answer;
@@ -79,10 +81,8 @@
   if (!team) return "unknown team";
   bool fits = false;
   for (const auto& [name, t] : types_.types()) {
-    if (job.types && std::find(job.types->begin(), job.types->end(), name) == job.types->end())
-      continue;
     if (job.zone && std::find(t.zones.begin(), t.zones.end(), *job.zone) == t.zones.end()) continue;
-    fits = fits || (job.cpus <= t.cpus && job.gpus <= t.gpus && job.memory_gb <= t.memory_gb);
+    fits = fits || sched::hosts(t, job);
   }
   if (!fits) return "a task fits no allowed machine type";
   // An array runs if one task does; gangs and services need all at once.
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -315,9 +315,7 @@
   const wire::Job& spec = job.spec;
   double boot = 0, fetch = 0;
   for (const auto& [name, t] : types_.types()) {
-    if (!need_of(spec).fits_in({t.cpus, t.gpus, t.memory_gb})) continue;
-    if (spec.types && std::find(spec.types->begin(), spec.types->end(), name) == spec.types->end())
-      continue;
+    if (!sched::hosts(t, spec)) continue;
     boot = std::max(boot, t.boot_s);
     if (t.fetch_gb_per_s > 0) fetch = std::max(fetch, spec.image_gb / t.fetch_gb_per_s);
   }
@@ -350,7 +348,7 @@
     const wire::Job& spec = a.latest;
     double boot = 0, cheapest = std::numeric_limits<double>::infinity();
     for (const auto& [name, t] : types_.types()) {
-      if (!need_of(spec).fits_in({t.cpus, t.gpus, t.memory_gb})) continue;
+      if (!sched::hosts(t, spec)) continue;
       boot = std::max(boot, t.boot_s);
       cheapest = std::min(cheapest, spec.spot ? t.spot_price : t.price);
     }
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -2,6 +2,7 @@
 // Picture has already turned times into plain numbers.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -37,6 +38,12 @@
 
 inline Need need_of(const wire::Job& j) { return {j.cpus, j.gpus, j.memory_gb}; }
 
+// May a task of this job ever be on an empty machine of this type?
+inline bool hosts(const wire::MachineType& t, const wire::Job& j) {
+  return need_of(j).fits_in({t.cpus, t.gpus, t.memory_gb}) &&
+         (!j.types || std::find(j.types->begin(), j.types->end(), t.name) != j.types->end());
+}
+
 // How many tasks of this need an empty machine takes.
 std::uint32_t capacity(const Need& need, const Need& total);
 
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -80,6 +80,16 @@
   return p;
 }
 
+std::vector<model::Placed> placements(const Decisions& d) {
+  std::vector<model::Placed> list;
+  for (const Batch& b : d.starts)
+    for (const Placement& x : b.tasks) list.push_back({b.job, x.task, x.machine, false});
+  for (const Batch& b : d.holds)
+    for (const Placement& x : b.tasks) list.push_back({b.job, x.task, x.machine, true});
+  std::sort(list.begin(), list.end());
+  return list;
+}
+
 TEST(Sched, AgreesWithThePlainModel) {
   std::mt19937 random(4711);
   int placed = 0, held = 0;
@@ -87,12 +97,7 @@
     Picture p = random_picture(random, MachineChoice::first_fit);
     const Picture before = p;
     const Decisions d = pass(p);
-    std::vector<model::Placed> real;
-    for (const Batch& b : d.starts)
-      for (const Placement& x : b.tasks) real.push_back({b.job, x.task, x.machine, false});
-    for (const Batch& b : d.holds)
-      for (const Placement& x : b.tasks) real.push_back({b.job, x.task, x.machine, true});
-    std::sort(real.begin(), real.end());
+    const std::vector<model::Placed> real = placements(d);
     ASSERT_EQ(real, model::PlainScheduler(before).run()) << "round " << round;
     for (const auto& x : real) (x.held ? held : placed) += 1;
   }
@@ -131,12 +136,7 @@
   }
   const Picture before = p;
   const Decisions d = pass(p);
-  std::vector<model::Placed> real;
-  for (const Batch& b : d.starts)
-    for (const Placement& x : b.tasks) real.push_back({b.job, x.task, x.machine, false});
-  for (const Batch& b : d.holds)
-    for (const Placement& x : b.tasks) real.push_back({b.job, x.task, x.machine, true});
-  std::sort(real.begin(), real.end());
+  const std::vector<model::Placed> real = placements(d);
   EXPECT_EQ(real, model::PlainScheduler(before).run());
   EXPECT_GT(real.size(), 30u);
   EXPECT_LT(d.looked_at,
