--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -42,6 +42,7 @@
   ~HttpServer();
   // Throws std::runtime_error when the address can't be had.
   void listen(const std::string& endpoint);
+  std::size_t connections() const { return conns_.size(); }
 
  private:
   struct Conn;
--- /dev/null
+++ b/tests/net_test.cc
@@ -0,0 +1,127 @@
+// What bounds sockets and queues: on a large deployment each of them was once without a bound.
+#include <gtest/gtest.h>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "standins/sim.h"
+#include "state/client.h"
+#include "workers/client.h"
+
+namespace seampass {
+namespace {
+
+// Servers and clients on a real loop, over loopback.
+struct Loopback {
+  net::Loop loop;
+  std::vector<std::unique_ptr<net::HttpServer>> servers;
+  std::vector<std::string> endpoints;
+
+  net::HttpServer& serve(net::ServerLimits limits) {
+    servers.push_back(std::make_unique<net::HttpServer>(
+        loop, limits, [](const net::Request&, net::Answer answer) {
+          answer({200, "{}", 0});
+        }));
+    for (int port = 20000;; ++port) {
+      const std::string endpoint = "127.0.0.1:" + std::to_string(port);
+      try {
+        servers.back()->listen(endpoint);
+        endpoints.push_back(endpoint);
+        return *servers.back();
+      } catch (const std::runtime_error&) {
+        if (port > 60000) throw;
+      }
+    }
+  }
+  // Sends all at once; how many were answered 200.
+  int ask(net::HttpClient& client, const std::string& endpoint,
+          const std::vector<std::string>& paths) {
+    int good = 0;
+    std::size_t answered = 0;
+    for (const std::string& path : paths)
+      client.call({endpoint, "GET", path, "", 2000}, [&](const net::Reply& r) {
+        ++answered;
+        good += r.is(200) ? 1 : 0;
+      });
+    while (answered < paths.size()) uv_run(loop.raw(), UV_RUN_ONCE);
+    settle();
+    return good;
+  }
+  void settle() {
+    bool over = false;
+    loop.after(30, [&over] { over = true; });
+    while (!over) uv_run(loop.raw(), UV_RUN_ONCE);
+  }
+};
+
+TEST(Net, IdleConnectionsToManyEndpointsAreBoundedTogether) {
+  Loopback l;
+  for (int i = 0; i < 6; ++i) l.serve({});
+  net::HttpClient client(l.loop, 2);
+  for (const std::string& e : l.endpoints) EXPECT_EQ(l.ask(client, e, {"/commands"}), 1);
+  std::size_t open = 0;
+  for (const auto& s : l.servers) open += s->connections();
+  EXPECT_EQ(open, 2u);
+  EXPECT_EQ(l.servers.back()->connections(), 1u);  // the longest idle went first
+  EXPECT_EQ(l.ask(client, l.endpoints[0], {"/commands"}), 1);
+}
+
+TEST(Net, ANewConnectionDisplacesAnIdleUserButNoWorker) {
+  net::ServerLimits limits;
+  limits.max_connections = 3;
+  limits.lasting_path = "/checkin";
+  Loopback l;
+  net::HttpServer& server = l.serve(limits);
+  {
+    net::HttpClient peers(l.loop, 8), user(l.loop, 8);
+    EXPECT_EQ(l.ask(peers, l.endpoints[0], {"/checkin", "/checkin", "/api/jobs"}), 3);
+    EXPECT_EQ(l.ask(user, l.endpoints[0], {"/up"}), 1);  // the idle user's made room
+    EXPECT_EQ(server.connections(), 3u);
+  }
+  l.settle();
+  net::HttpClient workers(l.loop, 8), user(l.loop, 8);
+  EXPECT_EQ(l.ask(workers, l.endpoints[0], {"/checkin", "/checkin", "/checkin"}), 3);
+  EXPECT_EQ(l.ask(user, l.endpoints[0], {"/up"}), 0);
+  EXPECT_EQ(l.ask(workers, l.endpoints[0], {"/checkin", "/checkin", "/checkin"}), 3);
+}
+
+// Keeps calls until the test answers them.
+class HeldCaller : public net::HttpCaller {
+ public:
+  void call(net::Call call, net::ReplyFn done) override {
+    held.emplace_back(std::move(call), std::move(done));
+  }
+  std::vector<std::pair<net::Call, net::ReplyFn>> held;
+};
+
+TEST(Net, CommandsOnTheirWayAreBoundedAndTheRestWaits) {
+  HeldCaller http;
+  workers::Client client(http, 1000, 2);
+  int done = 0;
+  for (int i = 0; i < 5; ++i)
+    client.send("m" + std::to_string(i), 7, 1, {}, [&done](workers::Sent, const auto&) { ++done; });
+  ASSERT_EQ(http.held.size(), 2u);
+  http.held[0].second({net::Reply::Fate::unknown, 0, {}});
+  ASSERT_EQ(http.held.size(), 3u);
+  EXPECT_EQ(http.held[2].first.endpoint, "m2");
+  client.stop();  // no longer leading: what has not left is not sent
+  http.held[1].second({net::Reply::Fate::unknown, 0, {}});
+  http.held[2].second({net::Reply::Fate::unknown, 0, {}});
+  EXPECT_EQ(http.held.size(), 3u);
+  EXPECT_EQ(done, 3);
+}
+
+TEST(Net, SubmissionsWaitOnNothingLessUrgent) {
+  HeldCaller http;
+  standins::SimTime time;
+  state::Client client(time, http, "state:1", 50, 10, 1000);
+  for (int i = 0; i < 60; ++i) {
+    state::Txn txn;
+    txn.changes.push_back({"work/wk-1/" + std::to_string(i), wire::Json::object(), 0});
+    client.txn(std::move(txn), state::Urgency::progress, [](const state::TxnResult&) {});
+  }
+  EXPECT_GT(client.backlog(state::Urgency::progress), 3000);
+  EXPECT_EQ(client.backlog(state::Urgency::verdict), 0);
+}
+
+}  // namespace
+}  // namespace seampass
--- a/tests/standins/workers.h
+++ b/tests/standins/workers.h
@@ -136,8 +136,10 @@
               [this, sent, session](const net::Reply& r) {
                 Ms pause = 1000;
                 if (r.is(200)) {
+                  // A higher token is a change, and reported soon.
+                  const std::uint64_t before = token_;
                   take(wire::Json::parse(r.body), sent, session);
-                  pause = timing_.report;
+                  pause = token_ > before ? 500 : timing_.report;
                 } else if (r.is(421)) {
                   const std::string to = wire::Json::parse(r.body).value("steward", "");
                   const auto it = std::find(nodes_.begin(), nodes_.end(), to);
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -266,6 +266,26 @@
   w.expect_rules();
 }
 
+// A new leader with several hundred open jobs places again within a quarter of a worker's lease.
+TEST(Trouble, NextLeaderOfManyJobsPlacesAgainSoon) {
+  World w(1, 4);
+  w.cloud.capacity = 4;  // 8 tasks at once; the rest waits
+  ASSERT_TRUE(w.settle());
+  for (int i = 0; i < 300; ++i)
+    ASSERT_EQ(w.submit(w.leader(), array_job("wk-" + std::to_string(1000 + i), 3, 6)).status, 201);
+  const std::string first = w.leader();
+  w.kill(first);
+  while (w.leader().empty()) w.time.run_for(100);
+  int starts = 0;
+  for (const auto& [task, n] : w.judge.starts) starts += n;
+  w.time.run_for(5000);  // lease_s / 4
+  int later = 0;
+  for (const auto& [task, n] : w.judge.starts) later += n;
+  EXPECT_GT(later, starts);
+  w.start(first);
+  w.expect_rules();
+}
+
 // Small gangs come as fast as they end, with two that need most of the zone waiting.
 TEST(Trouble, LargeGangsAreNotStarvedBySmallOnes) {
   World w(1, 0);
