--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -53,6 +53,11 @@
   static constexpr std::size_t kNoSlot = static_cast<std::size_t>(-1);
 };
 
+// An order that does not depend on where machines lie in memory.
+struct ByName {
+  bool operator()(const Machine* a, const Machine* b) const { return a->name < b->name; }
+};
+
 class Fleet {
  public:
   // gone: the machine, and all that is on it, surely no longer exists.
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -566,7 +566,7 @@
 void Controller::drain_noticed() {
   const Ms now = runtime_.now();
   std::vector<Charge*> singles;
-  std::set<JobRecord*> gangs;
+  std::map<std::string, JobRecord*> gangs;
   for (auto& [name, m] : fleet_.machines()) {
     if (!m.taken_at) continue;
     for (const auto& [key, c] : m.charges) {
@@ -575,7 +575,7 @@
       const double margin = spec.save_s + settings_.gang_peer_s + settings_.report_s;
       if (now + net::ms(margin) < *m.taken_at) continue;
       if (c->job->gang()) {
-        gangs.insert(c->job);
+        gangs.emplace(spec.id, c->job);
       } else {
         stop_charge(*c, spec.save_s + settings_.report_s / 3);
         singles.push_back(c);
@@ -583,7 +583,7 @@
     }
   }
   send_stops(singles);
-  for (JobRecord* job : gangs) {
+  for (const auto& [id, job] : gangs) {
     stop_all(*job, job->spec.save_s + settings_.gang_peer_s);
   }
 }
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -85,7 +85,7 @@
 }
 
 void Controller::send_stops(const std::vector<Charge*>& charges) {
-  std::map<Machine*, std::vector<wire::Command>> by_machine;
+  std::map<Machine*, std::vector<wire::Command>, ByName> by_machine;
   for (Charge* c : charges)
     by_machine[c->machine].push_back(
         {Verb::stop, c->job->spec.id, c->task, c->attempt, c->grace_s});
@@ -375,7 +375,7 @@
                                 const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks) {
   const auto j = jobs_.find(id);
   if (j == jobs_.end()) return;
-  std::map<Machine*, std::vector<wire::Command>> by_machine;
+  std::map<Machine*, std::vector<wire::Command>, ByName> by_machine;
   std::vector<Charge*> off;
   for (const auto& [task, attempt] : tasks) {
     const auto it = j->second->charges.find(task);
