--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -118,7 +118,9 @@
                  std::uint64_t session);
   void release(Charge& charge);
   void lost_attempt(JobRecord& job);
+  Charge* find_charge(const std::string& job, std::uint32_t task);
   void stop_charge(Charge& charge, double grace_s);
+  void stop_to_save(Charge& charge);
   void stop_all(JobRecord& job, double grace_s);
   void send_stops(const std::vector<Charge*>& charges);
   void set_state(Charge& charge, wire::TaskState state);
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -395,14 +395,11 @@
   for (const sched::Eviction& e : d.evictions) {
     double grace = 0;
     for (const sched::Victim& v : e.tasks) {
-      const auto job = jobs_.find(v.job);
-      if (job == jobs_.end()) continue;
-      const auto c = job->second->charges.find(v.task);
-      if (c == job->second->charges.end()) continue;
-      const double save = job->second->spec.save_s + settings_.report_s / 3;
-      stop_charge(c->second, save);
-      stops.push_back(&c->second);
-      grace = std::max(grace, save);
+      Charge* c = find_charge(v.job, v.task);
+      if (!c) continue;
+      stop_to_save(*c);
+      stops.push_back(c);
+      grace = std::max(grace, c->grace_s);
     }
     Machine* m = fleet_.find(picture_.machines[e.machine].name);
     if (!m) continue;
@@ -446,12 +443,9 @@
   const Ms now = runtime_.now();
   for (sched::MachineView& m : picture_.machines) {
     for (sched::Victim& v : m.victims) {
-      const auto job = jobs_.find(v.job);
-      if (job == jobs_.end()) continue;
-      const auto c = job->second->charges.find(v.task);
-      if (c == job->second->charges.end()) continue;
-      v.left_s =
-          job->second->spec.estimate_s - static_cast<double>(now - c->second.running_since) / 1000;
+      const Charge* c = find_charge(v.job, v.task);
+      if (!c) continue;
+      v.left_s = c->job->spec.estimate_s - static_cast<double>(now - c->running_since) / 1000;
     }
   }
   const std::size_t most = 1 + fleet_.machines().size() / kEmptiedShare;
@@ -463,7 +457,7 @@
     m->draining = true;
     spdlog::debug("emptying {} of {} tasks", m->name, m->charges.size());
     for (const auto& [key, c] : m->charges) {
-      stop_charge(*c, c->job->spec.save_s + settings_.report_s / 3);
+      stop_to_save(*c);
       stops.push_back(c);
     }
   }
@@ -577,7 +571,7 @@
       if (c->job->gang()) {
         gangs.emplace(spec.id, c->job);
       } else {
-        stop_charge(*c, spec.save_s + settings_.report_s / 3);
+        stop_to_save(*c);
         singles.push_back(c);
       }
     }
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -29,6 +29,13 @@
   return c;
 }
 
+Charge* Controller::find_charge(const std::string& job, std::uint32_t task) {
+  const auto j = jobs_.find(job);
+  if (j == jobs_.end()) return nullptr;
+  const auto c = j->second->charges.find(task);
+  return c == j->second->charges.end() ? nullptr : &c->second;
+}
+
 void Controller::set_state(Charge& c, TaskState state) {
   if (c.state == state) return;
   if (c.state == TaskState::running) --c.job->running;
@@ -71,6 +78,11 @@
   c.stop_since = runtime_.now();
 }
 
+// Long enough to save, and for the order to arrive.
+void Controller::stop_to_save(Charge& c) {
+  stop_charge(c, c.job->spec.save_s + settings_.report_s / 3);
+}
+
 void Controller::stop_all(JobRecord& job, double grace_s) {
   std::vector<Charge*> fresh;
   std::vector<Charge*> unsent;
@@ -337,11 +349,8 @@
                     workers::Sent sent, const std::optional<wire::WorkerReport>& report) {
                   if (term != term_) return;
                   for (const auto& [id, task, attempt] : starts) {
-                    const auto j = jobs_.find(id);
-                    if (j == jobs_.end()) continue;
-                    const auto c = j->second->charges.find(task);
-                    if (c != j->second->charges.end() && c->second.attempt == attempt)
-                      --c->second.in_flight;
+                    Charge* c = find_charge(id, task);
+                    if (c && c->attempt == attempt) --c->in_flight;
                   }
                   Machine* machine = fleet_.find(name);
                   if (!machine) return;
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -2,7 +2,6 @@
 #include <cmath>
 #include <deque>
 #include <limits>
-#include <set>
 #include <tuple>
 
 #include "sched/picture.h"
@@ -226,7 +225,6 @@
            std::make_tuple(p.machines[b].tasks, -p.machines[b].price, b);
   });
   std::map<std::size_t, Need> free;  // of machines that tasks are moved to
-  std::set<std::size_t> gone;
   const auto room = [&](std::size_t i) {
     const auto it = free.find(i);
     return it == free.end() ? p.machines[i].free : it->second;
@@ -245,7 +243,7 @@
       for (std::size_t k = order.size(); k-- > at + 1 && !placed;) {
         const std::size_t to = order[k];
         const MachineView& other = p.machines[to];
-        if (other.type != m.type || gone.count(to) != 0) continue;
+        if (other.type != m.type) continue;
         if ((other.spot && !v.spot) || other.images.count(v.image) == 0) continue;
         const auto before = taken.find(to);
         const Need left = before == taken.end() ? room(to) : before->second;
@@ -259,7 +257,6 @@
     }
     if (!all) continue;
     for (const auto& [to, left] : taken) free[to] = left;
-    gone.insert(i);
     result.push_back(i);
   }
   return result;
