--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -11,7 +11,7 @@
 leader::ElectionTimes times_of(const config::Settings& s) {
   // A sixth of a worker's lease: a take-over leaves workers most of theirs. The grace leaves a
   // whole report interval as margin.
-  return {ms(s.lease_s / 6), ms(s.cancel_s - s.lease_s - s.report_s / 3)};
+  return {ms(s.lease_s / 6), ms(s.cancel_s - s.lease_s - s.report_s / 3), ms(2 * s.lease_s)};
 }
 
 }  // namespace
--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <random>
 
 #include "sched/picture.h"
 
@@ -43,6 +44,11 @@
   peers_.on_receive([this](const std::string& from, const rpc::Message& m) { receive(from, m); });
 }
 
+std::uint64_t Desk::first_ask() {
+  std::random_device device;
+  return std::uniform_int_distribution<std::uint64_t>(1, std::uint64_t{1} << 62)(device);
+}
+
 void Desk::handle(const net::Request& request, Answer answer) {
   std::string_view path = request.path;
   path = path.substr(0, path.find('?'));
@@ -144,7 +150,7 @@
                a.fresh = true;
                reply(a);
                if (election_.leading())
-                 controller_.accepted(id, record, t.revision);
+                 controller_.heard_of(id, record, t.revision);
                else if (!election_.leader().empty())
                  peers_.send(election_.leader(), rpc::Accepted{id, record.dump(), t.revision});
              });
@@ -224,7 +230,7 @@
   if (const auto* accepted = std::get_if<rpc::Accepted>(&message)) {
     if (!election_.leading()) return;
     const Json record = Json::parse(accepted->record, nullptr, false);
-    if (!record.is_discarded()) controller_.accepted(accepted->id, record, accepted->version);
+    if (!record.is_discarded()) controller_.heard_of(accepted->id, record, accepted->version);
   } else if (const auto* ask = std::get_if<rpc::Ask>(&message)) {
     const std::uint64_t number = ask->number;
     const auto reply = [this, from, number](rpc::Answer a) {
--- a/src/jobs/desk.h
+++ b/src/jobs/desk.h
@@ -51,12 +51,14 @@
   rpc::PeerTransport& peers_;
   const config::Settings& settings_;
 
+  static std::uint64_t first_ask();
   struct Waiting {
     std::string id, node;
     Reply reply;
     net::TimerId timer = 0;
   };
-  std::uint64_t next_ = 1;
+  // Not from 1: late answers to this node's former self must match nothing that is asked now.
+  std::uint64_t next_ = first_ask();
   std::map<std::uint64_t, Waiting> asks_;
 };
 
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -60,7 +60,8 @@
 void Controller::begin() {
   stop();
   active_ = true;
-  began_ = waited_ = runtime_.now();
+  began_ = waited_ = ticked_ = runtime_.now();
+  mute_ticks_ = 0;
   spdlog::info("leading, warrant {}", election_.warrant());
   ledger_.begin(election_.warrant());
   fleet_.begin(election_.warrant());
@@ -72,6 +73,7 @@
   if (active_) spdlog::info("no longer leading");
   ++term_;
   active_ = loaded_ = kicked_ = false;
+  listed_ = 0;
   for (auto& [id, job] : jobs_)
     for (const auto& w : job->waiters) w({});
   jobs_.clear();
@@ -91,6 +93,12 @@
   return Json{{"job", wire::to_json(job)}, {"created_ms", created_ms}};
 }
 
+// A job that was accepted before the listing is in it, or has ended under a former leader: news of
+// it is a late copy, and would bring it back. (Without the news the watch tells of it.)
+void Controller::heard_of(const std::string& id, const Json& record, state::Version version) {
+  if (listed_ != 0 && version > listed_) accepted(id, record, version);
+}
+
 void Controller::accepted(const std::string& id, const Json& record, state::Version version) {
   if (!active_ || jobs_.count(id) != 0) return;
   // News of an acceptance can be older than the job's end. (A verdict that has left this cache is
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -59,6 +59,8 @@
   std::uint32_t running = 0;
   net::Ms retry_at = 0;
   int failures = 0;
+  // Task and machine where an attempt ended without a result and is not forgotten.
+  std::set<std::pair<std::uint32_t, std::string>> leftovers;
   // Gangs.
   std::vector<std::pair<std::uint32_t, std::string>> held;
   net::Ms held_since = 0;
@@ -89,7 +91,8 @@
   void stop();
 
   CheckinAnswer checkin(const wire::WorkerReport& report);
-  void accepted(const std::string& id, const wire::Json& record, state::Version version);
+  // News that a job was accepted, from this node or another.
+  void heard_of(const std::string& id, const wire::Json& record, state::Version version);
   // A poll or a cancellation; `cannot` unless the lease surely holds.
   void ask(const std::string& id, bool cancel, std::function<void(const rpc::Answer&)> reply);
 
@@ -105,6 +108,7 @@
   void watch();
 
   // Jobs.
+  void accepted(const std::string& id, const wire::Json& record, state::Version version);
   void finish_task(JobRecord& job, std::uint32_t task);
   void maybe_done(JobRecord& job);
   void end_job(JobRecord& job, wire::Stage stage);
@@ -130,6 +134,7 @@
   // Workers: reports.cc.
   void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
   void task_exited(Charge& charge, const wire::TaskReport& task);
+  bool may_forget(const Machine& machine, const wire::TaskReport& task) const;
   std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
   void send(Machine& machine, std::vector<wire::Command> commands);
   void unanswered(Machine& machine);
@@ -155,6 +160,7 @@
   void evict(const sched::Decisions& decisions);
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks);
   void tick();
+  bool mute();
   void log_use() const;
   void drain_noticed();
 
@@ -172,8 +178,11 @@
 
   bool active_ = false, loaded_ = false, kicked_ = false;
   std::uint64_t term_ = 0;
+  net::Ms ticked_ = 0;
+  int mute_ticks_ = 0;
   net::Ms began_ = 0, last_rental_ = 0, next_pass_ = 0;
-  net::Ms waited_ = 0;  // when a job last found no place
+  net::Ms waited_ = 0;         // when a job last found no place
+  state::Version listed_ = 0;  // open jobs were listed as of this revision; 0: not yet
   state::Version watched_ = 0;
   std::map<std::string, std::unique_ptr<JobRecord>> jobs_;
   std::map<std::string, sched::Need> team_use_;
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -1,5 +1,7 @@
 #include "leader/election.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 namespace seampass::leader {
@@ -90,6 +92,8 @@
 }
 
 void Election::stand() {
+  // Whoever has just made way leaves the others time to stand.
+  if (resigned_ && runtime_.now() - *resigned_ < times_.ttl) return retry([this] { read(); });
   const std::uint64_t term = ++term_;
   granted_ = runtime_.now();
   state_.grant(times_.ttl, [this, term](const state::LeaseResult& g) {
@@ -152,6 +156,9 @@
                          net::Ms up_ms) {
   if (!leading_) return;
   if (warrant > warrant_) return lost();
+  // Whoever was asked in this term knows of it: this is a late copy of a word given in an earlier
+  // one, by a round that may have had the same number.
+  if (warrant < warrant_) return;
   // While our lease surely held nobody else led. A node that has been up ever since remembers
   // whether it did; one that started later may have forgotten, and its word is worth nothing.
   // (Its time is taken against the word's arrival, since the asking may have been held up.)
@@ -169,6 +176,15 @@
   leader_ = node;
 }
 
+void Election::resign() {
+  const net::Ms now = runtime_.now();
+  if (!leading_ || (resigned_ && now - *resigned_ < times_.between_resignations)) return;
+  spdlog::info("making way: no worker is heard");
+  resigned_ = now;
+  state_.end(lease_, [](Outcome) {});
+  lost();
+}
+
 void Election::lost() {
   if (!leading_) return;
   leading_ = false;
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -17,6 +18,7 @@
   // lease: shorter than cancel_s - lease_s, so that a cancellation answered under the next leader
   // holds whatever a cut-off worker does (see docs/architecture.md).
   net::Ms grace;
+  net::Ms between_resignations;
 };
 
 class Election {
@@ -35,6 +37,9 @@
   std::uint64_t warrant() const { return warrant_; }
   // The leading node as far as known; empty if none is.
   const std::string& leader() const { return leader_; }
+  // Makes way for another: this leader is of no use to the workers. Does nothing within two of a
+  // worker's leases of the last time: perhaps no node is.
+  void resign();
   // Somebody learned that another has taken over.
   void lost();
   // What another node knows, in answer to an announcement with a round.
@@ -74,6 +79,7 @@
   std::set<std::string> words_;
   state::Version seen_ = 0;
   net::Ms granted_ = 0;
+  std::optional<net::Ms> resigned_;
   std::uint64_t term_ = 0;  // answers meant for an earlier term are dropped
 };
 
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -34,6 +34,8 @@
   net::Ms listed_up = -1;             // first listed as running in this term; -1: not yet
   std::optional<net::Ms> deaf_since;  // the first command without an answer since the last with one
   std::uint64_t session = 0, seq = 0, token = 0;
+  std::uint64_t checkin_seq = 0;    // of the latest check-in; answers to commands count as well
+  net::Ms obeyed = -1;              // last answer to a command; -1: none
   std::optional<net::Ms> taken_at;  // spot notice
   net::Ms idle_since = 0;
   net::Ms suspect_until = 0;
@@ -44,9 +46,9 @@
   std::size_t strangers = 0;  // reported tasks that nothing charges
   std::set<std::string> images;
   std::set<AttemptName> exited;  // reported as ended and not forgotten yet
-  // Starts sent to /commands without an answer: they may be executed late, until the session
-  // changes.
-  std::set<AttemptName> lost;
+  // Starts sent to /commands in this session: until it changes, each may be executed late, or once
+  // more by a late copy. The worker ignores it for as long as it knows the attempt.
+  std::set<AttemptName> started;
   // Its place among the picture's machines, and whether it has changed since it was drawn there.
   std::size_t slot = kNoSlot;
   bool stale = true;
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -34,6 +34,11 @@
 // so many machines is emptied in a plan.
 constexpr double kEmptiedWorth = 3;
 constexpr std::size_t kEmptiedShare = 50;
+// A leader makes way if so large a share of its machines, and at least so many, said nothing for so
+// many report intervals.
+constexpr double kMuteShare = 0.9;
+constexpr std::size_t kMuteLeast = 3;
+constexpr double kMuteReports = 1.6;
 // A spare is kept on no type that costs more than this many times the cheapest that would do.
 constexpr double kSpareDearest = 3;
 
@@ -155,9 +160,6 @@
   std::vector<JobRecord*> jobs;
   const Ms now = runtime_.now();
   const auto guaranteed = guaranteed_jobs();
-  std::vector<const Machine*> lossy;  // a start sent to them may still come late
-  for (const auto& [name, m] : fleet_.machines())
-    if (!m.lost.empty() && m.slot != Machine::kNoSlot) lossy.push_back(&m);
   for (auto& [id, job] : jobs_) {
     if (job->ending || job->hint == job->spec.tasks) continue;
     const bool gang = job->gang();
@@ -194,11 +196,16 @@
     v.tasks = job->spec.tasks;
     for (const auto& [task, c] : job->charges) ++v.placed[c.machine->zone];
     v.blocked = now < job->retry_at;
-    // Where a start of an earlier attempt may still come late, that attempt is never forgotten,
-    // and would be in the way of this one.
-    for (const Machine* m : lossy) {
-      const auto e = m->lost.lower_bound({id, 0, 0});
-      if (e != m->lost.end() && std::get<0>(*e) == id) v.avoid.insert(m->slot);
+    // Where a copy of an earlier attempt's start may still come late, that attempt is not
+    // forgotten, and would be in the way of this one.
+    for (auto left = job->leftovers.begin(); left != job->leftovers.end();) {
+      const Machine* m = fleet_.find(left->second);
+      const auto e =
+          m ? m->started.lower_bound({id, left->first, 0}) : decltype(m->started.end())();
+      const bool there =
+          m && e != m->started.end() && std::get<0>(*e) == id && std::get<1>(*e) == left->first;
+      if (there && m->slot != Machine::kNoSlot) v.avoid.insert({left->first, m->slot});
+      left = there ? std::next(left) : job->leftovers.erase(left);
     }
     v.whole_only = job->whole_only;
     for (const auto& [task, name] : job->held) {
@@ -258,7 +265,7 @@
 
 void Controller::run_pass() {
   if (!ready() || !types_.known()) return;
-  const Ms began = runtime_.exact();
+  const Ms began = runtime_.now();
   picture_.choice = operator_.machine_choice == "first-fit" ? sched::MachineChoice::first_fit
                                                             : sched::MachineChoice::scored;
   draw_machines();
@@ -296,7 +303,7 @@
     plan();
   }
   // A slow controller falls behind in freshness, and not in check-ins, renewals and answers.
-  const Ms after = runtime_.exact();
+  const Ms after = runtime_.now();
   next_pass_ =
       after + std::max(kPassRest * (after - began), net::ms(kPassPause * settings_.report_s));
 }
@@ -494,6 +501,24 @@
   }
 }
 
+// No worker reaches this node, though the state service does: each is sent back to it by all others
+// until its lease is over. Two ticks in a row, since after standing still everything looks silent
+// until the sockets have been read.
+bool Controller::mute() {
+  const Ms now = runtime_.now();
+  const bool in_time = now - ticked_ < net::ms(settings_.report_s);
+  ticked_ = now;
+  std::size_t due = 0, silent = 0;
+  for (const auto& [name, m] : fleet_.machines()) {
+    if (m.deleting || (m.met < 0 && m.listed_up < 0)) continue;
+    ++due;
+    const Ms last = std::max({m.heard, m.listed_up, began_});
+    silent += now - last > net::ms(kMuteReports * settings_.report_s) ? 1 : 0;
+  }
+  mute_ticks_ = in_time && due >= kMuteLeast && silent >= due * kMuteShare ? mute_ticks_ + 1 : 0;
+  return mute_ticks_ >= 2;
+}
+
 void Controller::tick() {
   const std::uint64_t term = term_;
   runtime_.after(net::ms(settings_.report_s / 3), [this, term] {
@@ -501,6 +526,7 @@
     tick();
   });
   if (!ready()) return;
+  if (mute()) return election_.resign();
   const Ms now = runtime_.now();
   const Ms lease = net::ms(settings_.lease_s);
   // Without a word for longer than its lease since the last check-in that anyone may have
@@ -512,7 +538,10 @@
     if (m.charges.empty()) continue;
     // Until a worker has shown this warrant, the former leader may have answered it last.
     const bool ours = m.heard >= 0 && m.token >= election_.warrant();
-    if (now - m.heard > bound && (ours || now - began_ > unheard)) expired.push_back(&m);
+    // A worker that ended and was back at once began a lease of its own; what it was told to start
+    // since may run for as long.
+    if (now - std::max(m.heard, m.obeyed) > bound && (ours || now - began_ > unheard))
+      expired.push_back(&m);
   }
   for (Machine* m : expired) machine_gone(*m);
   for (auto& [klass, a] : arrivals_)
--- a/src/leader/recovery.cc
+++ b/src/leader/recovery.cc
@@ -22,7 +22,10 @@
     }
     const bool open = prefix == "open/";
     // Jobs accepted from here on come by the watch.
-    if (open && first) watched_ = r.revision;
+    if (open && first) {
+      watched_ = r.revision;
+      if (listed_ == 0) listed_ = r.revision;
+    }
     for (const state::Item& item : r.items) {
       if (open)
         accepted(item.key.substr(prefix.size()), item.value, item.version);
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -14,6 +14,11 @@
 using wire::TaskState;
 using wire::Verb;
 
+namespace {
+// Ended attempts that a machine's reports may carry because they can't be forgotten.
+constexpr std::size_t kMostLeft = 32;
+}  // namespace
+
 Charge& Controller::charge(JobRecord& job, std::uint32_t task, std::uint64_t attempt,
                            Machine& machine, std::uint64_t session) {
   Charge& c = job.charges[task];
@@ -149,12 +154,17 @@
   if (report.session == m.session)
     for (const auto& [key, c] : m.charges)
       if (c->job->ended && c->stop && !c->seen && runtime_.now() - c->stop_since > patience &&
-          m.lost.count({c->job->spec.id, c->task, c->attempt}) != 0)
+          m.started.count({c->job->spec.id, c->task, c->attempt}) != 0)
         return {503, "{}"};
-  const bool newer = report.session > m.session || report.seq > m.seq;
-  // A copy that comes late is no sign of life: its worker got the answer to the first, or none.
-  if (newer) m.heard = runtime_.now();
+  // A copy that comes late is no sign of life: its worker got the answer to the first, or none. But
+  // it may also be a machine that ended and was back at once, counting from the start again. So it
+  // gets no answer that renews a lease: every one that does must count as heard.
+  if (report.session == m.session && report.seq <= m.checkin_seq) return {503, "{}"};
+  m.heard = runtime_.now();
+  m.checkin_seq = report.seq;
   if (m.met < 0) m.met = runtime_.now();
+  // (The answer to a command may have overtaken it.)
+  const bool newer = report.session > m.session || report.seq > m.seq;
   if (!loaded_ || !newer) return {200, wire::checkin_answer(election_.warrant(), {})};
   take_report(m, report, true);
   return {200, wire::checkin_answer(election_.warrant(), orders_for(m, report))};
@@ -164,7 +174,7 @@
   const bool newer =
       report.session > m.session || (report.session == m.session && report.seq > m.seq);
   if (!newer) return;
-  if (report.session > m.session) m.lost.clear();
+  if (report.session > m.session) m.started.clear();
   m.session = report.session;
   m.seq = report.seq;
   m.token = report.token;
@@ -225,7 +235,7 @@
     } else if (checkin && c->in_flight == 0 && c->sent && m.token >= election_.warrant()) {
       // A check-in after the start was answered (or given up) lacks it. A start that may still
       // come late keeps its charge.
-      const bool late = m.lost.count({c->job->spec.id, c->task, c->attempt}) != 0;
+      const bool late = m.started.count({c->job->spec.id, c->task, c->attempt}) != 0;
       if (c->seen || (c->stop && !late)) absent.push_back(c);
       if (c->stop && late) m.draining = true;
     }
@@ -247,9 +257,27 @@
     const auto it = jobs_.find(id);
     if (it != jobs_.end()) maybe_done(*it->second);
   }
+  // What can't be forgotten makes every report longer.
+  if (m.exited.size() > kMostLeft && !m.draining)
+    m.draining = std::count_if(report.tasks.begin(), report.tasks.end(), [&](const auto& t) {
+                   return t.state == TaskState::exited && !may_forget(m, t);
+                 }) > static_cast<std::ptrdiff_t>(kMostLeft);
   if (m.draining && m.charges.empty() && !m.deleting) fleet_.remove(m);
 }
 
+// A late copy of a start finds the attempt for as long as the worker knows it, and does nothing.
+// Once it is forgotten the copy would start it again: an attempt that ended without a result while
+// another runs elsewhere, and any of a cancelled job. (One that is done would only say so again,
+// but its job may be cancelled yet; there the reports' length decides.)
+bool Controller::may_forget(const Machine& m, const wire::TaskReport& t) const {
+  if (m.started.count({t.job, t.index, t.attempt}) == 0) return true;
+  if (t.cause != ExitCause::done) return false;
+  const auto j = jobs_.find(t.job);
+  if (j != jobs_.end() && !j->second->ended) return m.exited.size() > kMostLeft;
+  const auto verdict = archive_.verdict(t.job);
+  return verdict && verdict->stage == wire::Stage::done;
+}
+
 void Controller::task_exited(Charge& c, const wire::TaskReport& t) {
   JobRecord& job = *c.job;
   Machine& m = *c.machine;
@@ -295,6 +323,7 @@
       break;
   }
   const std::string id = job.spec.id;
+  if (m.started.count({id, c.task, c.attempt}) != 0) job.leftovers.insert({c.task, m.name});
   release(c);
   const auto it = jobs_.find(id);
   if (gang && it != jobs_.end()) lost_attempt(*it->second);
@@ -309,11 +338,11 @@
     const Charge* c =
         it == m.charges.end() || it->second->attempt != t.attempt ? nullptr : it->second;
     if (t.state == TaskState::exited) {
-      // Forgotten only after the record of its end is durable, and never while a copy of its
-      // start may still come: that would run it again.
-      if (!c && ledger_.settled(t.job, chunk_of(t.index)) &&
-          m.lost.count({t.job, t.index, t.attempt}) == 0)
+      // Forgotten only after the record of its end is durable.
+      if (!c && ledger_.settled(t.job, chunk_of(t.index)) && may_forget(m, t)) {
+        m.started.erase({t.job, t.index, t.attempt});
         orders.push_back({Verb::forget, t.job, t.index, t.attempt, 0});
+      }
       continue;
     }
     if (!c) {
@@ -344,6 +373,7 @@
   const std::uint64_t term = term_;
   const std::uint64_t session = m.session;
   const std::string name = m.name;
+  m.started.insert(starts.begin(), starts.end());
   workers_.send(m.addr, election_.warrant(), session, commands,
                 [this, term, name, session, starts](
                     workers::Sent sent, const std::optional<wire::WorkerReport>& report) {
@@ -354,8 +384,10 @@
                   }
                   Machine* machine = fleet_.find(name);
                   if (!machine) return;
-                  if (sent == workers::Sent::unknown && machine->session == session)
-                    machine->lost.insert(starts.begin(), starts.end());
+                  // Certainly not executed, and no copy of it ever will be.
+                  if (sent == workers::Sent::not_sent || sent == workers::Sent::rejected)
+                    for (const AttemptName& s : starts) machine->started.erase(s);
+                  if (sent == workers::Sent::executed) machine->obeyed = runtime_.now();
                   if (sent == workers::Sent::unknown || sent == workers::Sent::not_sent)
                     unanswered(*machine);
                   else
@@ -403,7 +435,7 @@
     // now no longer has it, so it may be forgotten.
     for (auto e = c.machine->exited.lower_bound({id, task, 0});
          e != c.machine->exited.end() && std::get<0>(*e) == id && std::get<1>(*e) == task; ++e)
-      if (c.machine->lost.count(*e) == 0)
+      if (c.machine->started.count(*e) == 0)
         commands.push_back({Verb::forget, id, task, std::get<2>(*e), 0});
     commands.push_back({Verb::start, id, task, attempt, 0});
   }
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -1,5 +1,6 @@
 #include "net/loop.h"
 
+#include <algorithm>
 #include <chrono>
 #include <stdexcept>
 
@@ -20,9 +21,9 @@
   uv_loop_close(&loop_);
 }
 
-Ms Loop::now() const { return static_cast<Ms>(uv_now(&loop_)); }
-
-Ms Loop::exact() const { return static_cast<Ms>(uv_hrtime() / 1000000); }
+// Not uv_now: that is the time at which the loop last woke, which is long ago after a long callback
+// or after the process stood still.
+Ms Loop::now() const { return static_cast<Ms>(uv_hrtime() / 1000000); }
 
 Ms Loop::wall() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -35,6 +36,9 @@
   uv_timer_init(&loop_, &t->handle);
   t->handle.data = t;
   timers_[t->id] = t;
+  // libuv counts from the time it last read. Without the difference a timer set late in a long turn
+  // of the loop would fire early, and answers would look overdue before they could have come.
+  const Ms behind = std::max<Ms>(0, now() - static_cast<Ms>(uv_now(&loop_)));
   uv_timer_start(
       &t->handle,
       [](uv_timer_t* h) {
@@ -43,7 +47,7 @@
         timer->loop->cancel(timer->id);
         run();
       },
-      static_cast<std::uint64_t>(delay < 0 ? 0 : delay), 0);
+      static_cast<std::uint64_t>(std::max<Ms>(0, delay) + behind), 0);
   return t->id;
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -18,7 +18,6 @@
   Loop& operator=(const Loop&) = delete;
 
   Ms now() const override;
-  Ms exact() const override;
   Ms wall() const override;
   TimerId after(Ms delay, std::function<void()> then) override;
   void cancel(TimerId id) override;
--- a/src/net/runtime.h
+++ b/src/net/runtime.h
@@ -16,8 +16,9 @@
 class Runtime {
  public:
   virtual ~Runtime() = default;
-  virtual Ms now() const = 0;  // steady; may stand still while something is being handled
-  virtual Ms exact() const { return now(); }
+  // Steady, and exact at the moment of asking: a process may stand still for seconds in the middle
+  // of handling something, and leases run on meanwhile. No rule may rest on a time read earlier.
+  virtual Ms now() const = 0;
   virtual Ms wall() const = 0;  // time of day
   virtual TimerId after(Ms delay, std::function<void()> then) = 0;
   virtual void cancel(TimerId id) = 0;
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -3,6 +3,7 @@
 #include <limits>
 #include <string_view>
 #include <tuple>
+#include <utility>
 
 #include "sched/picture.h"
 
@@ -91,7 +92,7 @@
         if (!job.need.fits_in(m.free)) continue;
         room = true;
         if (!m.claimed_by.empty() && m.claimed_by != job.id) continue;
-        if (job.avoid.count(i) == 0) list.push_back(score(job, i));
+        list.push_back(score(job, i));
       }
       if (!room && pool.hopeless.size() < kMostHopeless) pool.hopeless.push_back(job.need);
     }
@@ -116,6 +117,35 @@
     }
   }
 
+  // Adds the first task that has no place yet and may be on this machine; if it has none but those
+  // that may not, one is exchanged with a task placed before. (A job's tasks are alike.)
+  static bool place_next(const JobView& job, std::size_t machine, std::vector<Placement>& result) {
+    if (job.avoid.empty()) {
+      result.push_back({job.pending[result.size()], machine});
+      return true;
+    }
+    const auto may = [&](std::uint32_t t, std::size_t m) { return job.avoid.count({t, m}) == 0; };
+    std::vector<std::uint32_t> rest;
+    for (const std::uint32_t t : job.pending) {
+      if (std::any_of(result.begin(), result.end(),
+                      [t](const Placement& x) { return x.task == t; }))
+        continue;
+      if (may(t, machine)) {
+        result.push_back({t, machine});
+        return true;
+      }
+      rest.push_back(t);
+    }
+    for (const std::uint32_t t : rest)
+      for (Placement& x : result)
+        if (may(x.task, machine) && may(t, x.machine)) {
+          const std::uint32_t moved = std::exchange(x.task, t);
+          result.push_back({moved, machine});
+          return true;
+        }
+    return false;
+  }
+
   // Places as many of the pending tasks as go, in `zone` if named, and reserves their room.
   std::vector<Placement> place(const JobView& job, const std::string* zone) {
     Zones placed = job.placed;
@@ -127,9 +157,9 @@
       const std::size_t i = std::get<std::size_t>(c);
       const MachineView& m = p_.machines[i];
       while (result.size() < most && job.need.fits_in(m.free) && zone_allows(job, placed, m.zone)) {
+        if (!place_next(job, i, result)) break;
         take(job, i);
         ++placed[m.zone];
-        result.push_back({job.pending[result.size()], i});
       }
       if (result.size() == most) break;
     }
@@ -140,8 +170,9 @@
     JobView& job = p_.jobs[j];
     std::vector<Placement> placed = place(job, nullptr);
     if (placed.empty()) return;
-    job.pending.erase(job.pending.begin(),
-                      job.pending.begin() + static_cast<std::ptrdiff_t>(placed.size()));
+    std::set<std::uint32_t> gone;
+    for (const Placement& x : placed) gone.insert(x.task);
+    std::erase_if(job.pending, [&](std::uint32_t t) { return gone.count(t) != 0; });
     out_.starts.push_back({j, std::move(placed)});
   }
 
@@ -221,7 +252,10 @@
           lacks -= std::min(lacks, n);
           if (lacks == 0) return;
         }
-        if (!m.claimed_by.empty() || m.victims.empty() || job.avoid.count(i) != 0) continue;
+        if (!m.claimed_by.empty() || m.victims.empty()) continue;
+        if (std::any_of(job.avoid.begin(), job.avoid.end(),
+                        [i](const auto& a) { return a.second == i; }))
+          continue;
         Option o;
         o.machine = i;
         Need left = m.free;
--- a/src/sched/picture.h
+++ b/src/sched/picture.h
@@ -99,9 +99,10 @@
   std::uint32_t tasks = 0;
   std::vector<std::uint32_t> pending;           // tasks to place, lowest first; may be cut short
   std::map<std::string, std::uint32_t> placed;  // by zone: tasks still charged, any attempt
-  std::set<std::size_t> avoid;  // machines that must not be given a task of this job now
-  bool blocked = false;         // nothing may be placed now
-  bool whole_only = false;      // a gang that timed out once: hold nothing short of its minimum
+  // Task and machine: where a former attempt of the task can't be forgotten, which is in its way.
+  std::set<std::pair<std::uint32_t, std::size_t>> avoid;
+  bool blocked = false;     // nothing may be placed now
+  bool whole_only = false;  // a gang that timed out once: hold nothing short of its minimum
   std::optional<std::string> kept_zone;  // the one zone where a large gang's room is kept
   std::vector<Placement> held;
 };
--- a/tests/model/plain_scheduler.h
+++ b/tests/model/plain_scheduler.h
@@ -39,8 +39,7 @@
       if (job.kind == wire::JobKind::gang)
         gang(j);
       else
-        for (const auto t : job.pending)
-          if (!add(j, t, "", false)) break;
+        fill(j, "", false);
     }
     std::sort(out_.begin(), out_.end());
     return out_;
@@ -72,9 +71,9 @@
     for (const auto& zone : zones) {
       out_ = start;
       double cost = 0;
-      for (const auto t : job.pending) {
-        if (!add(j, t, zone, true)) break;
-        const auto& m = p_.machines[out_.back().machine];
+      fill(j, zone, true);
+      for (std::size_t k = start.size(); k < out_.size(); ++k) {
+        const auto& m = p_.machines[out_[k].machine];
         cost += m.price * (m.images.count(job.image) ? 1 : 2);
       }
       if (out_.size() > best.size() ||
@@ -90,40 +89,63 @@
         if (x.job == j) x.held = false;
   }
 
-  bool add(std::size_t j, std::uint32_t task, const std::string& zone, bool held) {
+  // Machine after machine is filled with the first tasks that have no place yet. Where only tasks
+  // are left that must avoid it, one of them changes places with one placed before.
+  void fill(std::size_t j, const std::string& zone, bool held) {
     const auto& job = p_.jobs[j];
-    for (std::size_t i = 0; i < p_.machines.size(); ++i) {
-      const auto& m = p_.machines[i];
-      if (!m.open || (!zone.empty() && m.zone != zone)) continue;
-      if (m.spot && !job.spot) continue;
-      if (job.avoid.count(i) != 0) continue;
-      if (job.zone && *job.zone != m.zone) continue;
-      if (job.types && *job.types &&
-          std::count((*job.types)->begin(), (*job.types)->end(), m.type) == 0)
-        continue;
-      sched::Need free = m.free;
-      sched::Need team{p_.teams.at(job.team).cpus, p_.teams.at(job.team).gpus, 0};
-      auto in_zone = job.placed;
-      for (const auto& x : out_) {
-        const auto& other = p_.jobs[x.job];
-        if (x.machine == i) free -= other.need;
-        if (other.team == job.team) team += other.need;
-        if (x.job == j) ++in_zone[p_.machines[x.machine].zone];
+    const auto first = out_.size();
+    const auto may = [&](std::uint32_t t, std::size_t i) { return job.avoid.count({t, i}) == 0; };
+    const auto one = [&](std::size_t i) {
+      std::vector<std::uint32_t> rest;
+      for (const auto t : job.pending) {
+        bool placed = false;
+        for (auto k = first; k < out_.size(); ++k) placed = placed || out_[k].task == t;
+        if (!placed) rest.push_back(t);
       }
-      const auto& limit = p_.teams.at(job.team);
-      if (limit.cpus_max && job.need.cpus > 0 && team.cpus + job.need.cpus > *limit.cpus_max + 1e-6)
-        continue;
-      if (limit.gpus_max && job.need.gpus > 0 && team.gpus + job.need.gpus > *limit.gpus_max + 1e-6)
-        continue;
-      if (!job.need.fits_in(free)) continue;
-      bool elsewhere = false;
-      for (const auto& [z, n] : in_zone) elsewhere = elsewhere || (n > 0 && z != m.zone);
-      if (job.one_zone && elsewhere) continue;
-      if (job.spread && in_zone[m.zone] + 1 > (job.tasks + 1) / 2) continue;
-      out_.push_back({j, task, i, held});
-      return true;
+      for (const auto t : rest)
+        if (may(t, i)) return out_.push_back({j, t, i, held}), true;
+      for (const auto t : rest)
+        for (auto k = first; k < out_.size(); ++k)
+          if (may(out_[k].task, i) && may(t, out_[k].machine)) {
+            out_.push_back({j, out_[k].task, i, held});
+            out_[k].task = t;
+            return true;
+          }
+      return false;
+    };
+    for (std::size_t i = 0; i < p_.machines.size(); ++i)
+      while (fits(j, i, zone) && one(i)) continue;
+  }
+
+  bool fits(std::size_t j, std::size_t i, const std::string& zone) const {
+    const auto& job = p_.jobs[j];
+    const auto& m = p_.machines[i];
+    if (!m.open || (!zone.empty() && m.zone != zone)) return false;
+    if (m.spot && !job.spot) return false;
+    if (job.zone && *job.zone != m.zone) return false;
+    if (job.types && *job.types &&
+        std::count((*job.types)->begin(), (*job.types)->end(), m.type) == 0)
+      return false;
+    sched::Need free = m.free;
+    sched::Need team{p_.teams.at(job.team).cpus, p_.teams.at(job.team).gpus, 0};
+    auto in_zone = job.placed;
+    for (const auto& x : out_) {
+      const auto& other = p_.jobs[x.job];
+      if (x.machine == i) free -= other.need;
+      if (other.team == job.team) team += other.need;
+      if (x.job == j) ++in_zone[p_.machines[x.machine].zone];
     }
-    return false;
+    const auto& limit = p_.teams.at(job.team);
+    if (limit.cpus_max && job.need.cpus > 0 && team.cpus + job.need.cpus > *limit.cpus_max + 1e-6)
+      return false;
+    if (limit.gpus_max && job.need.gpus > 0 && team.gpus + job.need.gpus > *limit.gpus_max + 1e-6)
+      return false;
+    if (!job.need.fits_in(free)) return false;
+    bool elsewhere = false;
+    for (const auto& [z, n] : in_zone) elsewhere = elsewhere || (n > 0 && z != m.zone);
+    if (job.one_zone && elsewhere) return false;
+    if (job.spread && in_zone[m.zone] + 1 > (job.tasks + 1) / 2) return false;
+    return true;
   }
 
   const sched::Picture& p_;
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -71,7 +71,8 @@
       j.pending.erase(j.pending.begin());
       j.placed[std::string(1, static_cast<char>('a' + pick(3)))] = 1;
     }
-    if (pick(5) == 0) j.avoid.insert(pick(machines));
+    for (int k = pick(3) == 0 ? 4 : 0; k > 0; --k)
+      j.avoid.insert({static_cast<std::uint32_t>(pick(6)), pick(machines)});
     j.blocked = pick(8) == 0;
     j.whole_only = pick(4) == 0;
     if (j.one_zone && pick(6) == 0) j.kept_zone = "c";
@@ -160,7 +161,7 @@
       ASSERT_FALSE(job.blocked);
       for (const Placement& x : b.tasks) {
         const MachineView& m = before.machines[x.machine];
-        ASSERT_EQ(job.avoid.count(x.machine), 0u);
+        ASSERT_EQ(job.avoid.count({x.task, x.machine}), 0u);
         ASSERT_TRUE(m.open && allowed(job, m.type, m.zone, m.spot));
         ASSERT_TRUE(job.need.fits_in(free[x.machine]));
         free[x.machine] -= job.need;
