--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -197,6 +197,7 @@
 }
 
 void Desk::checkin(const net::Request& request, const Answer& answer) {
+  election_.worker_came();
   if (!election_.leading()) return answer({421, wire::redirect_answer(election_.leader()), 0});
   try {
     auto r = controller_.checkin(wire::report_from(request.body));
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -93,7 +93,15 @@
 
 void Election::stand() {
   // Whoever has just made way leaves the others time to stand.
-  if (resigned_ && runtime_.now() - *resigned_ < times_.ttl) return retry([this] { read(); });
+  const net::Ms now = runtime_.now();
+  if (resigned_ && now - *resigned_ < times_.ttl) return retry([this] { read(); });
+  // So does, once, a node that no worker has come to: without a leader they come to every node that
+  // they can reach.
+  if (!let_others_ && !(came_ && now - *came_ < times_.ttl)) {
+    let_others_ = true;
+    return retry([this] { read(); });
+  }
+  let_others_ = false;
   const std::uint64_t term = ++term_;
   granted_ = runtime_.now();
   state_.grant(times_.ttl, [this, term](const state::LeaseResult& g) {
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -40,6 +40,8 @@
   // Makes way for another: this leader is of no use to the workers. Does nothing within two of a
   // worker's leases of the last time: perhaps no node is.
   void resign();
+  // A worker's report has come to this node, whether it leads or not.
+  void worker_came() { came_ = runtime_.now(); }
   // Somebody learned that another has taken over.
   void lost();
   // What another node knows, in answer to an announcement with a round.
@@ -79,7 +81,8 @@
   std::set<std::string> words_;
   state::Version seen_ = 0;
   net::Ms granted_ = 0;
-  std::optional<net::Ms> resigned_;
+  std::optional<net::Ms> resigned_, came_;
+  bool let_others_ = false;
   std::uint64_t term_ = 0;  // answers meant for an earlier term are dropped
 };
 
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -510,10 +510,10 @@
   ticked_ = now;
   std::size_t due = 0, silent = 0;
   for (const auto& [name, m] : fleet_.machines()) {
-    if (m.deleting || (m.met < 0 && m.listed_up < 0)) continue;
+    // (Those never met may all be dead: making way for that would go round for ever.)
+    if (m.deleting || m.met < 0) continue;
     ++due;
-    const Ms last = std::max({m.heard, m.listed_up, began_});
-    silent += now - last > net::ms(kMuteReports * settings_.report_s) ? 1 : 0;
+    silent += now - m.heard > net::ms(kMuteReports * settings_.report_s) ? 1 : 0;
   }
   mute_ticks_ = in_time && due >= kMuteLeast && silent >= due * kMuteShare ? mute_ticks_ + 1 : 0;
   return mute_ticks_ >= 2;
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -159,9 +159,10 @@
   // A copy that comes late is no sign of life: its worker got the answer to the first, or none. But
   // it may also be a machine that ended and was back at once, counting from the start again. So it
   // gets no answer that renews a lease: every one that does must count as heard.
-  if (report.session == m.session && report.seq <= m.checkin_seq) return {503, "{}"};
+  const std::pair checkin{report.session, report.seq};
+  if (checkin <= m.checkin) return {503, "{}"};
   m.heard = runtime_.now();
-  m.checkin_seq = report.seq;
+  m.checkin = checkin;
   if (m.met < 0) m.met = runtime_.now();
   // (The answer to a command may have overtaken it.)
   const bool newer = report.session > m.session || report.seq > m.seq;
--- /dev/null
+++ b/tests/copies_test.cc
@@ -0,0 +1,218 @@
+// Late copies of old messages, repeats of requests that were carried out, and what is back within a
+// fraction of a second. Each test fails when its guard is taken out.
+#include <gtest/gtest.h>
+
+#include <thread>
+
+#include "net/loop.h"
+#include "standins/world.h"
+
+namespace seampass::standins {
+namespace {
+
+// A job whose one task keeps the only machine up.
+void keep_busy(World& w) {
+  w.submit("n0", array_job("wk-900", 1, 400));
+  ASSERT_TRUE(w.reaches("wk-900", "running", 30000));
+}
+
+// Copies of the commands that started a job, after it was cancelled and all of it was gone.
+TEST(Copies, OfStartsDoNotRunACancelledJob) {
+  World w(1, 1);
+  w.cloud.capacity = 1;
+  ASSERT_TRUE(w.settle());
+  keep_busy(w);
+  auto& commands = w.record("/commands");
+  w.submit("n0", array_job("wk-1", 1, 100));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  EXPECT_EQ(w.cancel("n0", "wk-1").stage(), "withdrawn");
+  w.time.run_for(45000);  // longer than cancel_s
+  const int before = w.starts();
+  ASSERT_FALSE(commands.empty());
+  w.repeat(commands);
+  w.time.run_for(5000);
+  EXPECT_EQ(w.starts(), before);
+  w.expect_rules();
+}
+
+// A task that was done before its job was cancelled is not started again either.
+TEST(Copies, OfStartsDoNotRunWhatWasDoneOfACancelledJob) {
+  World w(1, 1);
+  w.cloud.capacity = 1;
+  ASSERT_TRUE(w.settle());
+  keep_busy(w);
+  auto& commands = w.record("/commands");
+  w.submit("n0", array_job("wk-1", 8, 3));  // one at a time beside the other job
+  w.time.run_for(9000);
+  ASSERT_GT(w.judge.done.size(), 0u);
+  EXPECT_EQ(w.cancel("n0", "wk-1").stage(), "withdrawn");
+  w.time.run_for(45000);
+  const int before = w.starts();
+  w.repeat(commands);
+  w.time.run_for(5000);
+  EXPECT_EQ(w.starts(), before);
+  w.expect_rules();
+}
+
+// An attempt failed, and the task runs elsewhere.
+TEST(Copies, OfStartsDoNotRunATaskTwice) {
+  World w(1, 2);
+  w.cloud.capacity = 3;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-900", 3, 400));
+  ASSERT_TRUE(w.reaches("wk-900", "running", 30000));
+  auto& commands = w.record("/commands");
+  w.cloud.machines.at("m-000001")->fail_next(wire::ExitCause::error);
+  w.cloud.machines.at("m-000002")->fail_next(wire::ExitCause::error);
+  w.submit("n0", array_job("wk-1", 1, 200));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 60000));
+  w.time.run_for(12000);
+  w.repeat(commands);
+  w.time.run_for(5000);
+  w.expect_rules();
+}
+
+// The next attempt of a task never waits behind one that can't be forgotten, and a job that fails
+// does not shut its machines for good.
+TEST(Copies, LeftoversAreInNobodysWay) {
+  World w(1, 2);
+  w.cloud.capacity = 2;
+  ASSERT_TRUE(w.settle());
+  w.cloud.machines.at("m-000001")->fail_next(wire::ExitCause::error);
+  w.submit("n0", gang_job("wk-1", 1, 6));
+  EXPECT_TRUE(w.reaches("wk-1", "done", 90000));
+  w.expect_rules();
+}
+
+// Answers to a node's former self carry numbers that its next self might use.
+TEST(Copies, OfAnswersToAFormerSelfAreNotTaken) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 2, 300));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  const std::string node = w.follower(), leader = w.leader();
+  w.kill(node);
+  w.start(node);
+  w.time.run_for(3000);
+  rpc::Answer old;
+  old.verdict = rpc::Verdict::known;
+  old.status.stage = wire::Stage::done;
+  w.time.after(0, [&] {
+    for (old.number = 1; old.number < 100; ++old.number) w.deliver(leader, node, old);
+  });
+  for (Ms at = 1; at < 12; ++at)
+    w.time.after(at, [&w, &leader, &node, old]() mutable {
+      for (old.number = 1; old.number < 100; ++old.number) w.deliver(leader, node, old);
+    });
+  EXPECT_EQ(w.poll(node, "wk-1").stage(), "running");
+  EXPECT_EQ(w.poll(node, "wk-1").stage(), "running");
+  w.expect_rules();
+}
+
+// News of an acceptance reach the next leader, which never knew of the job's end.
+TEST(Copies, OfNewsDoNotBringAnEndedJobBack) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 1, 2));
+  ASSERT_TRUE(w.reaches("wk-1", "done", 30000));
+  const std::string record = leader::Controller::open_record(array_job("wk-1", 1, 2), 5).dump();
+  for (const char* n : {"n0", "n1", "n2"}) w.kill(n);
+  for (const char* n : {"n0", "n1", "n2"}) w.start(n);
+  w.time.run_for(100);
+  ASSERT_TRUE(w.settle());
+  w.time.run_for(2000);
+  w.deliver(w.follower(), w.leader(), rpc::Accepted{"wk-1", record, 2});
+  EXPECT_EQ(w.poll(w.leader(), "wk-1").stage(), "done");
+  w.expect_rules();
+}
+
+// A word given to this leader in an earlier term, by a round of the same number, vouches for
+// nothing.
+TEST(Copies, OfWordsOfAnEarlierTermVouchForNothing) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 6, 200));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  const std::string leader = w.leader();
+  w.net.set_peer_rule([](const std::string&, const std::string&) { return false; });
+  w.state.down = true;
+  for (int i = 0; i < 60; ++i) {
+    for (const char* n : {"n0", "n1", "n2"})
+      for (std::uint64_t round = 1; n != leader && round < 200; ++round)
+        w.deliver(n, leader, rpc::Word{round, 0, 1'000'000});
+    w.time.run_for(1000);
+  }
+  EXPECT_TRUE(w.judge.on.empty());  // the leases have run out
+  w.net.set_peer_rule({});
+  w.state.come_back();
+  EXPECT_TRUE(w.reaches("wk-1", "done", 400000));
+  w.expect_rules();
+}
+
+// A machine ends and is back at once, counting its reports from the start. What it is then told to
+// start runs until its own lease is over, and is started nowhere else before that; meanwhile no
+// machine can be returned.
+TEST(Copies, AMachineBackAtOnceIsNotGivenUpWhileItRuns) {
+  for (unsigned seed = 1; seed <= 6; ++seed) {
+    World w(seed, 2);
+    w.cloud.capacity = 2;
+    ASSERT_TRUE(w.settle());
+    w.submit("n0", array_job("wk-900", 1, 400));
+    w.submit("n0", array_job("wk-901", 1, 60));  // beside it: room from then on
+    auto last = array_job("wk-902", 1, 400);
+    last.priority = wire::Priority::low;
+    w.submit("n0", last);
+    ASSERT_TRUE(w.reaches("wk-902", "running", 30000));
+    w.time.run_for(44000 + 500 * seed);
+    const std::string half = w.judge.on[(TaskKey{"wk-902", 0})];
+    ASSERT_NE(w.judge.on[(TaskKey{"wk-900", 0})], half);
+    ASSERT_NE(w.judge.on[(TaskKey{"wk-901", 0})], half);
+    w.cloud.down = true;
+    w.cloud.restart(half);
+    w.submit("n0", array_job("wk-1", 1, 300));
+    w.time.run_for(1000);
+    ASSERT_EQ(w.judge.on[(TaskKey{"wk-1", 0})], half);
+    w.time.run_for(50000);  // the other machine has room again before the lease is over
+    w.cloud.down = false;
+    EXPECT_TRUE(w.reaches("wk-1", "done", 500000));
+    w.expect_rules();
+  }
+}
+
+// No worker reaches the leader, though the state service and its peers do.
+TEST(Copies, ALeaderThatNoWorkerReachesMakesWay) {
+  World w(1, 6);
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 10, 60));
+  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
+  w.time.run_for(4000);
+  const std::string old = w.leader();
+  w.net.set_rule([old](const std::string& from, const net::Call& c) {
+    Fate f;
+    f.never = c.endpoint == old + ":8080" || (from == old && c.endpoint.starts_with("m-"));
+    return f;
+  });
+  w.time.run_for(40000);  // twice a worker's lease
+  EXPECT_NE(w.leader(), old);
+  EXPECT_TRUE(w.reaches("wk-1", "done", 60000));
+  for (const auto& [task, n] : w.judge.starts) EXPECT_EQ(n, 1) << task.index;
+  w.expect_rules();
+}
+
+// Time goes on while something is handled, and a timer set meanwhile counts from then.
+TEST(Copies, NoTimeIsReadOnceForALongTurn) {
+  net::Loop loop;
+  Ms before = 0, after = 0, fired = 0;
+  loop.after(1, [&] {
+    before = loop.now();
+    std::this_thread::sleep_for(std::chrono::milliseconds(60));
+    after = loop.now();
+    loop.after(40, [&] { fired = loop.now(); });
+  });
+  loop.run();
+  EXPECT_GE(after, before + 60);
+  EXPECT_GE(fired, after + 40);
+}
+
+}  // namespace
+}  // namespace seampass::standins
--- a/tests/standins/sim.h
+++ b/tests/standins/sim.h
@@ -180,11 +180,16 @@
   void send(const std::string& node, const rpc::Message& message) override {
     if (!net_.peers_pass(self_, node)) return;
     net_.time().after(net_.latency(), [&registry = registry_, from = self_, node, message] {
-      const auto it = registry.find(node);
-      if (it != registry.end() && it->second->receive_) it->second->receive_(from, message);
+      deliver(registry, from, node, message);
     });
   }
   void reset(const std::string&) override {}
+  // What a held-back connection may bring: a message that nobody sends now.
+  static void deliver(const Registry& registry, const std::string& from, const std::string& node,
+                      const rpc::Message& message) {
+    const auto it = registry.find(node);
+    if (it != registry.end() && it->second->receive_) it->second->receive_(from, message);
+  }
   void on_receive(rpc::Receive receive) override { receive_ = std::move(receive); }
 
  private:
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -131,6 +131,27 @@
     }
     return false;
   }
+  void deliver(const std::string& from, const std::string& node, const rpc::Message& message) {
+    SimPeers::deliver(registry_, from, node, message);
+  }
+  // All messages of this kind that pass from now on, to be sent again.
+  std::vector<net::Call>& record(const char* path) {
+    net.set_rule([this, path](const std::string&, const net::Call& c) {
+      if (c.path == path) recorded_.push_back(c);
+      return Fate{};
+    });
+    return recorded_;
+  }
+  void repeat(const std::vector<net::Call>& calls) {
+    const auto alive = std::make_shared<bool>(true);
+    for (const net::Call& c : std::vector<net::Call>(calls))
+      net.call("copy", alive, c, [](const net::Reply&) {});
+  }
+  int starts() const {
+    int n = 0;
+    for (const auto& [task, k] : judge.starts) n += k;
+    return n;
+  }
   bool settle() {
     for (int i = 0; i < 300 && (leader().empty() || ask(leader(), "GET", "/up").status != 200); ++i)
       time.run_for(100);
@@ -180,6 +201,7 @@
   SimPeers::Registry registry_;
   std::map<std::string, std::unique_ptr<SimNode>> nodes_;
   std::map<std::string, std::string> last_;
+  std::vector<net::Call> recorded_;
 };
 
 inline wire::Job array_job(const std::string& id, std::uint32_t tasks, double run_s = 5) {
