--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -200,8 +200,9 @@
   election_.worker_came();
   if (!election_.leading()) return answer({421, wire::redirect_answer(election_.leader()), 0});
   try {
-    auto r = controller_.checkin(wire::report_from(request.body));
-    answer({r.status, std::move(r.body), 0});
+    const wire::WorkerReport report = wire::report_from(request.body);
+    auto r = controller_.checkin(report);
+    answer({r.status, std::move(r.body), 0, report.tasks.empty()});
   } catch (const wire::Malformed& e) {
     answer(refusal(400, e.what()));
   }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -17,12 +17,15 @@
   bool waiting = false;     // a complete request is being answered
   bool keep = true, closing = false, too_big = false;
   bool lasting = false;
+  Idle idle = busy;
+  std::list<Conn*>::iterator place;  // in idle_[idle]
   Ms since = 0;
   std::string left;  // bytes after a complete request
 
   void close() {
     if (closing) return;
     closing = true;
+    owner->park(this, busy);
     owner->conns_.erase(id);
     uv_close(reinterpret_cast<uv_handle_t*>(&tcp),
              [](uv_handle_t* h) { delete static_cast<Conn*>(h->data); });
@@ -75,6 +78,7 @@
     if (!c->in_request) {
       c->in_request = true;
       c->since = c->owner->loop_.now();
+      c->owner->park(c, HttpServer::busy);
     }
     const http_parser_settings s = settings();
     const std::size_t used = http_parser_execute(&c->parser, &s, data, n);
@@ -131,10 +135,11 @@
   http_parser_init(&c->parser, HTTP_REQUEST);
   c->parser.data = c;
   conns_[c->id] = c;
+  park(c, fresh);
   if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_), reinterpret_cast<uv_stream_t*>(&c->tcp)))
     return c->close();
-  // A new one beyond the bound displaces a user's that asks for nothing; else it is closed at once,
-  // and the load balancer, or the worker, tries another node.
+  // A new one beyond the bound displaces one that asks for nothing; if all ask, it is closed at
+  // once, and the load balancer, or the worker, tries another node.
   if (conns_.size() > limits_.max_connections && !make_room()) return c->close();
   uv_tcp_nodelay(&c->tcp, 1);
   uv_read_start(
@@ -154,15 +159,30 @@
       });
 }
 
+void HttpServer::park(Conn* c, Idle where) {
+  if (c->idle != busy) idle_[c->idle].erase(c->place);
+  c->idle = where;
+  if (where != busy) c->place = idle_[where].insert(idle_[where].end(), c);
+}
+
 bool HttpServer::make_room() {
-  Conn* oldest = nullptr;
-  for (const auto& [id, c] : conns_) {
-    // (The newest is the one that room is made for.)
-    if (c->lasting || c->waiting || c->in_request || id + 1 == next_) continue;
-    if (!oldest || c->since < oldest->since) oldest = c;
+  for (const Idle kind : {user, lasting}) {
+    if (idle_[kind].empty()) continue;
+    idle_[kind].front()->close();
+    return true;
   }
-  if (oldest) oldest->close();
-  return oldest != nullptr;
+  // Whoever has just connected is about to ask. (The newest is the one that room is made for.)
+  Conn* oldest = idle_[fresh].front();
+  if (oldest->id + 1 == next_ || loop_.now() - oldest->since < limits_.slow / 8) return false;
+  oldest->close();
+  return true;
+}
+
+// Room is left for those who come: a machine that has a connection closed comes back with its next
+// report, as one in 16 (or, with nothing to do, in 8) of the bound must.
+bool HttpServer::crowded(const Response& r) const {
+  const std::size_t most = limits_.max_connections;
+  return conns_.size() > most - most / (r.may_close ? 8 : 16);
 }
 
 void HttpServer::answer(std::uint64_t id, Response r) {
@@ -170,6 +190,7 @@
   if (it == conns_.end()) return;
   Conn* c = it->second;
   if (!c->waiting) return;
+  if (c->lasting && crowded(r)) c->keep = false;
   struct Write {
     uv_write_t req;
     std::string data;
@@ -205,6 +226,7 @@
   c->waiting = false;
   c->request = Request{};
   c->since = loop_.now();
+  park(c, c->lasting ? lasting : user);
   http_parser_init(&c->parser, HTTP_REQUEST);
   c->parser.data = c;
   if (!c->left.empty()) {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -20,6 +21,8 @@
   int status = 200;
   std::string body;
   int retry_after_s = 0;  // 0: no such header
+  // Whoever asked has little use for the connection: where they are scarce it is closed first.
+  bool may_close = false;
 };
 
 // Answers exactly one request; safe to call after the connection is gone.
@@ -30,7 +33,8 @@
 
 struct ServerLimits {
   std::size_t max_connections = 1000;
-  // A connection that last asked for this path is never closed to make room for another.
+  // Connections that last asked for this path are kept longest. Near the bound they are closed with
+  // the answer, so that there are never too few for all who report; idle, they go after all others.
   std::string lasting_path;
   Ms idle = 60000;  // between requests
   Ms slow = 10000;  // from a request's first byte to its last
@@ -51,8 +55,12 @@
   void sweep();
   void answer(std::uint64_t conn, Response response);
 
-  // Closes the connection that has asked for nothing for longest; false if there is none.
+  // Connections without a request on its way, longest idle first. A fresh one has not asked yet.
+  enum Idle { user, lasting, fresh, busy };
+  void park(Conn* conn, Idle where);
+  // Closes one of them for a newcomer; false if there is none.
   bool make_room();
+  bool crowded(const Response& response) const;
 
   Loop& loop_;
   ServerLimits limits_;
@@ -60,6 +68,7 @@
   uv_tcp_t* listener_;
   std::uint64_t next_ = 1;
   std::unordered_map<std::uint64_t, Conn*> conns_;
+  std::array<std::list<Conn*>, 3> idle_;
   // Bytes are consumed before the next read, so that all connections share one buffer.
   std::array<char, 32u << 10> buffer_;
 };
