--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -184,13 +184,14 @@
   leader_ = node;
 }
 
-void Election::resign() {
+bool Election::resign() {
   const net::Ms now = runtime_.now();
-  if (!leading_ || (resigned_ && now - *resigned_ < times_.between_resignations)) return;
+  if (!leading_ || (resigned_ && now - *resigned_ < times_.between_resignations)) return false;
   spdlog::info("making way: no worker is heard");
   resigned_ = now;
   state_.end(lease_, [](Outcome) {});
   lost();
+  return true;
 }
 
 void Election::lost() {
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -37,9 +37,9 @@
   std::uint64_t warrant() const { return warrant_; }
   // The leading node as far as known; empty if none is.
   const std::string& leader() const { return leader_; }
-  // Makes way for another: this leader is of no use to the workers. Does nothing within two of a
-  // worker's leases of the last time: perhaps no node is.
-  void resign();
+  // Makes way for another: this leader is of no use to the workers. False, and nothing done, within
+  // two of a worker's leases of the last time: perhaps no node is.
+  bool resign();
   // A worker's report has come to this node, whether it leads or not.
   void worker_came() { came_ = runtime_.now(); }
   // Somebody learned that another has taken over.
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -526,7 +526,7 @@
     tick();
   });
   if (!ready()) return;
-  if (mute()) return election_.resign();
+  if (mute() && election_.resign()) return;
   const Ms now = runtime_.now();
   const Ms lease = net::ms(settings_.lease_s);
   // Without a word for longer than its lease since the last check-in that anyone may have
