--- a/tests/standins/sim.h
+++ b/tests/standins/sim.h
@@ -73,10 +73,11 @@
 // What becomes of one message. `late`: the sender gets no answer, the receiver gets it after so
 // long.
 struct Fate {
-  bool refuse = false;       // certainly not sent
-  int status = 0;            // not 0: answered with this, not executed
-  bool lose_answer = false;  // executed, but the answer never comes
-  bool never = false;        // lost on its way, and so is every answer
+  bool refuse = false;              // certainly not sent
+  int status = 0;                   // not 0: answered with this, not executed
+  bool lose_answer = false;         // executed, but the answer never comes
+  bool never = false;               // lost on its way, and so is every answer
+  std::optional<std::string> body;  // instead of the answer's
   std::optional<Ms> late;
   std::optional<Ms> copy;  // comes once more after so long; nobody hears the answer to that
 };
@@ -131,19 +132,21 @@
           it->second({call.method, call.path, call.body}, [](net::Response) {});
       });
     const bool deaf = fate.lose_answer || fate.late.has_value();
-    time_.after(fate.late.value_or(latency()), [this, alive, call, done, answered, deaf] {
-      const auto it = services_.find(call.endpoint);
-      if (it == services_.end()) return;
-      it->second({call.method, call.path, call.body},
-                 [this, alive, done, answered, deaf](net::Response r) {
-                   if (deaf) return;
-                   time_.after(latency(), [alive, done, answered, r] {
-                     if (*answered || !*alive) return;
-                     *answered = true;
-                     done({net::Reply::Fate::answered, r.status, r.body});
-                   });
-                 });
-    });
+    time_.after(fate.late.value_or(latency()),
+                [this, alive, call, done, answered, deaf, body = fate.body] {
+                  const auto it = services_.find(call.endpoint);
+                  if (it == services_.end()) return;
+                  it->second({call.method, call.path, call.body},
+                             [this, alive, done, answered, deaf, body](net::Response r) {
+                               if (deaf) return;
+                               if (body) r.body = *body;
+                               time_.after(latency(), [alive, done, answered, r] {
+                                 if (*answered || !*alive) return;
+                                 *answered = true;
+                                 done({net::Reply::Fate::answered, r.status, r.body});
+                               });
+                             });
+                });
   }
 
  private:
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -289,6 +289,58 @@
   w.expect_rules();
 }
 
+// The state service, the cloud and workers answer with what is no answer: no process ends, and no
+// job is lost.
+TEST(Trouble, MalformedAnswersLoseNothing) {
+  const std::vector<std::string> bodies{
+      "",
+      "{",
+      "null",
+      "[]",
+      "{}",
+      R"({"rows":5,"has_next":1,"ledger_rev":"x"})",
+      R"({"rows":[{}],"has_next":false,"ledger_rev":3})",
+      R"({"rows":[{"path":"work/x","v":7,"stamp":1}],"has_next":true,"ledger_rev":1.5})",
+      R"({"path":"leader","v":{"node":5},"stamp":-1})",
+      R"({"path":7,"v":null,"stamp":4,"permit":"a"})",
+      R"({"ledger_rev":{},"failed":[3]})",
+      R"({"ledger_rev":4,"log":[{"write":1},[]]})",
+      R"({"permit":-4})",
+      R"({"hosts":[{}],"has_next":"no"})",
+      R"({"hosts":[5]})",
+      R"({"barrels":[{"name":"big","cellars":[1]}]})",
+      R"({"host":"m-000001","shift":-1,"tally":"x","pours":{}})",
+      std::string(70000, '[')};
+  for (unsigned seed = 1; seed <= 8; ++seed) {
+    World w(seed);
+    std::mt19937 random(seed);
+    ASSERT_TRUE(w.settle());
+    w.net.set_rule([&](const std::string& from, const net::Call&) {
+      Fate f;
+      if (from.starts_with("n") && random() % 5 == 0) f.body = bodies[random() % bodies.size()];
+      return f;
+    });
+    std::vector<std::string> accepted;
+    for (int i = 0; i < 12; ++i) {
+      const std::string id = "wk-" + std::to_string(100 + i);
+      const auto job = i % 4 == 0 ? gang_job(id, 2, 6) : array_job(id, 3, 6);
+      const int status = w.submit("n" + std::to_string(i % 3), job).status;
+      if (status == 200 || status == 201) accepted.push_back(id);
+      if (i == 6 && !w.leader().empty()) {
+        const std::string first = w.leader();
+        w.kill(first);
+        w.time.run_for(300);
+        w.start(first);
+      }
+      w.time.run_for(3000);
+    }
+    EXPECT_GT(accepted.size(), 3u);
+    w.net.set_rule({});
+    for (const std::string& id : accepted) EXPECT_TRUE(w.reaches(id, "done", 200000)) << id;
+    w.expect_rules();
+  }
+}
+
 // Small gangs come as fast as they end, with two that need most of the zone waiting.
 TEST(Trouble, LargeGangsAreNotStarvedBySmallOnes) {
   World w(1, 0);
