--- a/tests/copies_test.cc
+++ b/tests/copies_test.cc
@@ -16,6 +16,18 @@
   ASSERT_TRUE(w.reaches("wk-900", "running", 30000));
 }
 
+// Cancels wk-1, waits until all of it must be gone, and sends the commands again.
+void cancel_and_repeat(World& w, const std::vector<net::Call>& commands) {
+  EXPECT_EQ(w.cancel("n0", "wk-1").stage(), "withdrawn");
+  w.time.run_for(45000);  // longer than cancel_s
+  const int before = w.starts();
+  ASSERT_FALSE(commands.empty());
+  w.repeat(commands);
+  w.time.run_for(5000);
+  EXPECT_EQ(w.starts(), before);
+  w.expect_rules();
+}
+
 // Copies of the commands that started a job, after it was cancelled and all of it was gone.
 TEST(Copies, OfStartsDoNotRunACancelledJob) {
   World w(1, 1);
@@ -25,14 +37,7 @@
   auto& commands = w.record("/commands");
   w.submit("n0", array_job("wk-1", 1, 100));
   ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
-  EXPECT_EQ(w.cancel("n0", "wk-1").stage(), "withdrawn");
-  w.time.run_for(45000);  // longer than cancel_s
-  const int before = w.starts();
-  ASSERT_FALSE(commands.empty());
-  w.repeat(commands);
-  w.time.run_for(5000);
-  EXPECT_EQ(w.starts(), before);
-  w.expect_rules();
+  cancel_and_repeat(w, commands);
 }
 
 // A task that was done before its job was cancelled is not started again either.
@@ -45,13 +50,7 @@
   w.submit("n0", array_job("wk-1", 8, 3));  // one at a time beside the other job
   w.time.run_for(9000);
   ASSERT_GT(w.judge.done.size(), 0u);
-  EXPECT_EQ(w.cancel("n0", "wk-1").stage(), "withdrawn");
-  w.time.run_for(45000);
-  const int before = w.starts();
-  w.repeat(commands);
-  w.time.run_for(5000);
-  EXPECT_EQ(w.starts(), before);
-  w.expect_rules();
+  cancel_and_repeat(w, commands);
 }
 
 // An attempt failed, and the task runs elsewhere.
@@ -97,10 +96,7 @@
   rpc::Answer old;
   old.verdict = rpc::Verdict::known;
   old.status.stage = wire::Stage::done;
-  w.time.after(0, [&] {
-    for (old.number = 1; old.number < 100; ++old.number) w.deliver(leader, node, old);
-  });
-  for (Ms at = 1; at < 12; ++at)
+  for (Ms at = 0; at < 12; ++at)
     w.time.after(at, [&w, &leader, &node, old]() mutable {
       for (old.number = 1; old.number < 100; ++old.number) w.deliver(leader, node, old);
     });
