The gap: nobody is told of a cancellation before all of its tasks are off

Cause: a verdict was written and told while tasks were still on machines, to be stopped within cancel_s by whoever leads. Its leader may not know of it (the answer lost, then refused by the store alone), another controller reads it and tells the user, the store goes down for all, and peers vouch that nobody took over; or the next leader has not listed yet when the store goes down, and renews every lease.

Change: a cancellation stops everything as soon as it is asked, and its verdict is written only once nothing of the job is on any machine and none of its starts can come late. A start without an answer of a task that is to stop is made harmless by starting and stopping it in one go, instead of letting its machine's lease run out with all that is on it. A record's first write compares ends/ as well, so that a late copy can't bring a cleared record back.

--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace seampass::leader {
 
@@ -148,9 +149,19 @@
   // A job recovered after its end has no stage here; its verdict is read.
   if (it != jobs_.end() && !(it->second->ended && it->second->stage == wire::Stage::queued)) {
     JobRecord& job = *it->second;
+    // A verdict whose transaction is out may have been read by another node already: until this one
+    // knows, only the store can tell.
+    if (!job.ended && !cancel && ledger_.in_doubt(id)) return reply({});
     if (job.ended || !cancel) return reply(status_of(job));
     job.waiters.push_back(std::move(reply));
-    if (!job.ending) end_job(job, wire::Stage::cancelled);
+    // Whoever asked is told soon to come again, while the rest goes on.
+    const std::uint64_t term = term_;
+    runtime_.after(net::ms(settings_.report_s / 3), [this, term, id] {
+      const auto late = jobs_.find(id);
+      if (term != term_ || late == jobs_.end()) return;
+      for (const auto& w : std::exchange(late->second->waiters, {})) w({});
+    });
+    if (!job.ending) call_off(job);
     return;
   }
   const std::uint64_t term = term_;
@@ -169,19 +180,31 @@
   });
 }
 
-void Controller::end_job(JobRecord& job, wire::Stage stage) {
+// Its user wants it cancelled: all of it is stopped, and nobody is told of a cancellation before it
+// is off everywhere. So whoever leads next, whatever is refused, lost or late then: no task is left
+// that would have to be stopped, and no start that would have to be caught.
+void Controller::call_off(JobRecord& job) {
   job.ending = true;
   job.held.clear();
   const std::string id = job.spec.id;
-  ledger_.end(id, job.open_version, stage, job.finished_count,
-              [this, id](wire::Stage actual) { verdict(id, actual); });
+  stop_all(job, 0, true);
+  tidy(id);
+}
+
+void Controller::conclude(JobRecord& job) {
+  job.ending = job.concluding = true;
+  job.held.clear();
+  const std::string id = job.spec.id;
+  const bool done = job.finished_count == job.spec.tasks;
+  ledger_.end(id, job.open_version, done ? wire::Stage::done : wire::Stage::cancelled,
+              job.finished_count, [this, id](wire::Stage actual) { verdict(id, actual); });
 }
 
 void Controller::verdict(const std::string& id, wire::Stage stage) {
   const auto it = jobs_.find(id);
   if (it == jobs_.end()) return;
   JobRecord& job = *it->second;
-  job.ending = job.ended = true;
+  job.ending = job.concluding = job.ended = true;
   job.stage = stage;
   spdlog::debug("ended {}, {}", id, wire::stage_name(stage));
   const rpc::Answer answer = status_of(job);
@@ -194,10 +217,13 @@
   kick();
 }
 
-// An ended job stays until every task is off and its records are gone.
+// A job that was called off ends once every task is off; an ended one stays until then, and until
+// its records are gone.
 void Controller::tidy(const std::string& id) {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end() || !it->second->ended || !it->second->charges.empty()) return;
+  if (it == jobs_.end() || !it->second->charges.empty()) return;
+  if (it->second->ending && !it->second->concluding) conclude(*it->second);
+  if (!it->second->ended) return;
   const auto erase = [this, id] {
     const auto job = jobs_.find(id);
     if (job == jobs_.end() || !ledger_.settled(id)) return;
@@ -233,7 +259,7 @@
 }
 
 void Controller::maybe_done(JobRecord& job) {
-  if (!job.ending && job.finished_count == job.spec.tasks) end_job(job, wire::Stage::done);
+  if (!job.concluding && job.finished_count == job.spec.tasks) conclude(job);
 }
 
 }  // namespace seampass::leader
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -67,8 +67,10 @@
   bool whole_only = false;  // timed out once
   std::string kept_zone;    // where its room is kept since then, if anywhere
   net::Ms kept_since = 0;
-  // Ends.
+  // Ends. `ending`: nothing of it is started any more; it was called off, or all of it is done.
+  // `concluding`: its verdict is with the ledger. `ended`: the verdict is in the store.
   bool ending = false;
+  bool concluding = false;
   bool ended = false;
   wire::Stage stage = wire::Stage::queued;
   std::vector<std::function<void(const rpc::Answer&)>> waiters;
@@ -111,7 +113,8 @@
   void accepted(const std::string& id, const wire::Json& record, state::Version version);
   void finish_task(JobRecord& job, std::uint32_t task);
   void maybe_done(JobRecord& job);
-  void end_job(JobRecord& job, wire::Stage stage);
+  void call_off(JobRecord& job);
+  void conclude(JobRecord& job);
   void verdict(const std::string& id, wire::Stage stage);
   void tidy(const std::string& id);
   rpc::Answer status_of(const JobRecord& job) const;
@@ -125,7 +128,7 @@
   Charge* find_charge(const std::string& job, std::uint32_t task);
   void stop_charge(Charge& charge, double grace_s);
   void stop_to_save(Charge& charge);
-  void stop_all(JobRecord& job, double grace_s);
+  void stop_all(JobRecord& job, double grace_s, bool again = false);
   void send_stops(const std::vector<Charge*>& charges);
   void set_state(Charge& charge, wire::TaskState state);
   void machine_gone(Machine& machine);
@@ -135,6 +138,8 @@
   void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
   void task_exited(Charge& charge, const wire::TaskReport& task);
   bool may_forget(const Machine& machine, const wire::TaskReport& task) const;
+  // A start of it, or a copy of one, may reach the machine late.
+  bool may_come_late(const Charge& charge) const;
   std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
   void send(Machine& machine, std::vector<wire::Command> commands);
   void unanswered(Machine& machine);
--- a/src/leader/ledger.cc
+++ b/src/leader/ledger.cc
@@ -64,6 +64,11 @@
   });
 }
 
+bool Ledger::in_doubt(const std::string& job) const {
+  const auto j = jobs_.find(job);
+  return j != jobs_.end() && j->second.doubt && !j->second.ended;
+}
+
 std::vector<std::uint32_t> Ledger::chunks(const std::string& job) const {
   std::vector<std::uint32_t> list;
   const auto j = jobs_.find(job);
@@ -128,8 +133,9 @@
     txn.conditions.push_back({key, r.version});
     chunks.push_back(chunk);
     present.push_back(value.has_value());
-    // No start after a cancellation was answered, whoever answered it.
-    if (r.urgency == Urgency::assignment && !verdict && !e.ended &&
+    // No start after a cancellation was answered, whoever answered it; and no record that was
+    // cleared with its job comes back by a late copy of its first write (both find version 0).
+    if ((r.urgency == Urgency::assignment || r.version == 0) && !verdict && !e.ended &&
         (txn.conditions.size() < 2 || txn.conditions[1].key != ends_key(job)))
       txn.conditions.insert(txn.conditions.begin() + 1, {ends_key(job), 0});
     urgency = std::min(urgency, r.urgency);
@@ -139,9 +145,11 @@
   }
   if (txn.changes.empty()) return;
   e.busy = true;
+  const bool doubt = e.doubt;
+  e.doubt = doubt || verdict;
   const std::uint64_t term = term_;
   state_.txn(std::move(txn), urgency,
-             [this, term, job, chunks, present, verdict](const state::TxnResult& t) {
+             [this, term, job, chunks, present, verdict, doubt](const state::TxnResult& t) {
                if (term != term_) return;
                const auto found = jobs_.find(job);
                if (found == jobs_.end()) return;
@@ -154,6 +162,7 @@
                }
                if (t.outcome == Outcome::refused) {
                  entry.busy = false;
+                 entry.doubt = doubt;  // this one was certainly not carried out
                  return later(job);
                }
                if (t.outcome == Outcome::conflict &&
--- a/src/leader/ledger.h
+++ b/src/leader/ledger.h
@@ -49,6 +49,8 @@
   void end(const std::string& job, state::Version open_version, wire::Stage stage,
            std::uint64_t done, std::function<void(wire::Stage)> durable);
 
+  // A verdict of this job may be in the store, or may come to be, and is not known here yet.
+  bool in_doubt(const std::string& job) const;
   // Nothing of this record waits or is on its way.
   bool settled(const std::string& job, std::uint32_t chunk) const;
   bool settled(const std::string& job) const;
@@ -73,6 +75,7 @@
     std::map<std::uint32_t, Record> records;
     std::optional<Ending> ending;
     bool ended = false;  // the verdict is in the store
+    bool doubt = false;  // a transaction with the verdict is out, or its outcome is not known
     bool busy = false;
   };
 
--- a/src/leader/recovery.cc
+++ b/src/leader/recovery.cc
@@ -75,7 +75,7 @@
       job->spec.gpus = wire::amount_field(v, "gpus");
       job->spec.memory_gb = wire::amount_field(v, "memory");
       job->spec.tasks = static_cast<std::uint32_t>(wire::count_field(v, "of"));
-      job->ending = job->ended = true;
+      job->ending = job->concluding = job->ended = true;
       job->taken.assign(job->spec.tasks, true);
       job->finished.assign(job->spec.tasks, false);
       it = jobs_.emplace(id, std::move(job)).first;
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -88,12 +88,14 @@
   stop_charge(c, c.job->spec.save_s + settings_.report_s / 3);
 }
 
-void Controller::stop_all(JobRecord& job, double grace_s) {
+// `again`: also what was told to stop before, with this grace now.
+void Controller::stop_all(JobRecord& job, double grace_s, bool again) {
   std::vector<Charge*> fresh;
   std::vector<Charge*> unsent;
   for (auto& [task, c] : job.charges) {
-    if (c.stop) continue;
+    if (c.stop && !again) continue;
     stop_charge(c, grace_s);
+    c.grace_s = grace_s;
     (c.sent ? fresh : unsent).push_back(&c);
   }
   send_stops(fresh);
@@ -148,14 +150,6 @@
     m.spot = report.spot;
   }
   if (report.session < m.session) return {503, "{}"};
-  // A task that was told to stop for a cancellation while a start of it may still come: let the
-  // lease run out, which makes the start void, before cancel_s does.
-  const Ms patience = net::ms((settings_.cancel_s - settings_.lease_s) / 2);
-  if (report.session == m.session)
-    for (const auto& [key, c] : m.charges)
-      if (c->job->ended && c->stop && !c->seen && runtime_.now() - c->stop_since > patience &&
-          m.started.count({c->job->spec.id, c->task, c->attempt}) != 0)
-        return {503, "{}"};
   // A copy that comes late is no sign of life: its worker got the answer to the first, or none. But
   // it may also be a machine that ended and was back at once, counting from the start again. So it
   // gets no answer that renews a lease: every one that does must count as heard.
@@ -212,7 +206,7 @@
         c->durable = c->sent = true;
         job.last_attempt = std::max(job.last_attempt, t.attempt);
         ledger_.changed(t.job, chunk_of(t.index), Urgency::assignment);
-        if (job.ended || job.finished[t.index] || job.gang()) stop_charge(*c, 0);
+        if (job.ending || job.finished[t.index] || job.gang()) stop_charge(*c, 0);
       } else {
         ++m.strangers;
       }
@@ -235,10 +229,8 @@
       absent.push_back(c);  // its session is over, and all that was on it
     } else if (checkin && c->in_flight == 0 && c->sent && m.token >= election_.warrant()) {
       // A check-in after the start was answered (or given up) lacks it. A start that may still
-      // come late keeps its charge.
-      const bool late = m.started.count({c->job->spec.id, c->task, c->attempt}) != 0;
-      if (c->seen || (c->stop && !late)) absent.push_back(c);
-      if (c->stop && late) m.draining = true;
+      // come late keeps its charge, and orders_for() makes it harmless.
+      if (c->seen || (c->stop && !may_come_late(*c))) absent.push_back(c);
     }
   }
   // Releasing can end jobs and move others, so what follows goes by name.
@@ -330,6 +322,10 @@
   if (gang && it != jobs_.end()) lost_attempt(*it->second);
 }
 
+bool Controller::may_come_late(const Charge& c) const {
+  return c.machine->started.count({c.job->spec.id, c.task, c.attempt}) != 0;
+}
+
 std::vector<wire::Command> Controller::orders_for(Machine& m, const wire::WorkerReport& report) {
   std::vector<wire::Command> orders;
   std::set<std::pair<std::string, std::uint32_t>> present;
@@ -358,8 +354,17 @@
   }
   if (!election_.holds()) return orders;
   for (const auto& [key, c] : m.charges) {
-    if (present.count(key) != 0 || !c->durable || c->stop || c->in_flight > 0 || c->seen) continue;
-    if (c->session != m.session || c->job->ending) continue;
+    if (present.count(key) != 0 || !c->durable || c->in_flight > 0 || c->seen) continue;
+    if (c->session != m.session) continue;
+    if (c->stop) {
+      // A start without an answer may come at any time. Started and stopped in one go, the attempt
+      // is known to the worker, and the late start does nothing.
+      if (!may_come_late(*c)) continue;
+      orders.push_back({Verb::start, key.first, key.second, c->attempt, 0});
+      orders.push_back({Verb::stop, key.first, key.second, c->attempt, 0});
+      continue;
+    }
+    if (c->job->ending) continue;
     c->sent = true;
     orders.push_back({Verb::start, key.first, key.second, c->attempt, 0});
   }
