--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -34,9 +34,11 @@
   net::Ms listed_up = -1;             // first listed as running in this term; -1: not yet
   std::optional<net::Ms> deaf_since;  // the first command without an answer since the last with one
   std::uint64_t session = 0, seq = 0, token = 0;
-  std::pair<std::uint64_t, std::uint64_t> checkin;  // session and seq of the latest check-in
-  net::Ms obeyed = -1;                              // last answer to a command; -1: none
-  std::optional<net::Ms> taken_at;                  // spot notice
+  // Session and seq of the latest check-in that showed this leader's warrant, and of the latest
+  // that did not.
+  std::pair<std::uint64_t, std::uint64_t> checkin, early;
+  net::Ms obeyed = -1;              // last answer to a command; -1: none
+  std::optional<net::Ms> taken_at;  // spot notice
   net::Ms idle_since = 0;
   net::Ms suspect_until = 0;
   int errors = 0;
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -510,8 +510,9 @@
   ticked_ = now;
   std::size_t due = 0, silent = 0;
   for (const auto& [name, m] : fleet_.machines()) {
-    // (Those never met may all be dead: making way for that would go round for ever.)
-    if (m.deleting || m.met < 0) continue;
+    // (Those that never heard this leader may all be dead, with copies of their reports on the
+    // way: making way for that would go round for ever.)
+    if (m.deleting || !m.up) continue;
     ++due;
     silent += now - m.heard > net::ms(kMuteReports * settings_.report_s) ? 1 : 0;
   }
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -149,11 +149,22 @@
     m.zone = report.zone;
     m.spot = report.spot;
   }
+  const std::pair checkin{report.session, report.seq};
+  if (report.token < election_.warrant()) {
+    // It has not heard this leader. Or it is a late copy, perhaps from a former life of the machine
+    // with more sessions than this one: so it is answered, to be heard, and proves nothing.
+    // A worker keeps the highest warrant that it has seen; one that shows less than before is a
+    // copy, or has begun anew, and what it had is given up like that of any silent machine.
+    if (report.token < m.token || checkin == m.early) return {503, "{}"};
+    m.early = checkin;
+    m.heard = runtime_.now();
+    if (m.met < 0) m.met = runtime_.now();
+    return {200, wire::checkin_answer(election_.warrant(), {})};
+  }
   if (report.session < m.session) return {503, "{}"};
   // A copy that comes late is no sign of life: its worker got the answer to the first, or none. But
   // it may also be a machine that ended and was back at once, counting from the start again. So it
   // gets no answer that renews a lease: every one that does must count as heard.
-  const std::pair checkin{report.session, report.seq};
   if (checkin <= m.checkin) return {503, "{}"};
   m.heard = runtime_.now();
   m.checkin = checkin;
@@ -168,14 +179,12 @@
 void Controller::take_report(Machine& m, const wire::WorkerReport& report, bool checkin) {
   const bool newer =
       report.session > m.session || (report.session == m.session && report.seq > m.seq);
-  if (!newer) return;
+  if (!newer || report.token < election_.warrant()) return;
   if (report.session > m.session) m.started.clear();
   m.session = report.session;
   m.seq = report.seq;
   m.token = report.token;
-  // Without our warrant it may be a copy of an old report, perhaps of a machine long gone, and our
-  // answers may not reach it: nothing is placed there.
-  if (!m.up && m.token >= election_.warrant()) {
+  if (!m.up) {  // it lives now, and hears us
     m.up = true;
     m.idle_since = runtime_.now();
     kick();
@@ -227,7 +236,11 @@
     if (present.count(key) != 0) continue;
     if (m.session > c->session) {
       absent.push_back(c);  // its session is over, and all that was on it
-    } else if (checkin && c->in_flight == 0 && c->sent && m.token >= election_.warrant()) {
+    } else if (m.session < c->session) {
+      // The machine has ended and begun anew since: sessions only rise, and this one was alive
+      // under this leader, the recorded one before.
+      absent.push_back(c);
+    } else if (checkin && c->in_flight == 0 && c->sent) {
       // A check-in after the start was answered (or given up) lacks it. A start that may still
       // come late keeps its charge, and orders_for() makes it harmless.
       if (c->seen || (c->stop && !may_come_late(*c))) absent.push_back(c);
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -175,5 +175,199 @@
   }
 }
 
+// Many days on which troubles meet, each from its seed; then all troubles end, and nothing may be
+// forgotten or left waiting.
+class Days : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(Days, BreakNoRuleAndLeaveNothingBehind) {
+  const unsigned seed = GetParam();
+  World w(seed, 6);
+  w.cloud.capacity = 12;
+  std::mt19937 random(seed * 6007 + 5);
+  const auto pick = [&](unsigned n) { return static_cast<unsigned>(random() % n); };
+  ASSERT_TRUE(w.settle());
+
+  // What is wrong now.
+  unsigned severity = 0, late_writes = 0, late_reports = 0;
+  std::string deaf, mute, refused, alone, still;
+  w.net.set_rule([&](const std::string& from, const net::Call& c) {
+    Fate f;
+    if (from == "user") return f;
+    const bool report = c.path == "/checkin", store = c.endpoint == "state:1";
+    // Its reports arrive; answers and commands do not reach it.
+    if (report && from == deaf) f.lose_answer = true;
+    if (c.endpoint == deaf + ":9000") f.never = true;
+    // Commands reach it; it reaches nobody.
+    if (report && from == mute) f.refuse = true;
+    if (store && from == refused) f.status = 503;
+    if (store && from == alone) f.never = true;
+    if (f.never || f.lose_answer || f.refuse || f.status != 0) return f;
+    if (c.path == "/txn" && pick(100) < late_writes) f.late = 2000 + static_cast<Ms>(pick(10000));
+    if (report && pick(100) < late_reports) f.copy = 2000 + static_cast<Ms>(pick(40000));
+    if (f.late || pick(100) >= severity) return f;
+    switch (pick(4)) {
+      case 0:
+        f.refuse = true;
+        break;
+      case 1:
+        f.lose_answer = true;
+        break;
+      case 2:
+        f.copy = static_cast<Ms>(pick(40000));
+        break;
+      default:
+        f.late = static_cast<Ms>(pick(report ? 15000 : 30000));
+    }
+    return f;
+  });
+  w.net.set_peer_rule(
+      [&](const std::string& a, const std::string& b) { return a != alone && b != alone; });
+
+  std::vector<std::string> accepted;
+  std::set<std::string> down, called_off;
+  const auto machine = [&] {
+    auto it = w.cloud.machines.begin();
+    std::advance(it, static_cast<long>(pick(static_cast<unsigned>(w.cloud.machines.size()))));
+    return it;
+  };
+  const auto call_off = [&](const std::string& id) {
+    called_off.insert(id);
+    w.cancel_soon("n" + std::to_string(pick(3)), id);
+  };
+  for (int step = 0; step < 50; ++step) {
+    const std::string node = "n" + std::to_string(pick(3));
+    const std::string id = "wk-" + std::to_string(1000 + step);
+    severity = pick(4) == 0 ? 30 : 3;
+    switch (pick(18)) {
+      default: {
+        auto job =
+            pick(3) == 0 ? gang_job(id, 1 + pick(3), 9) : array_job(id, 1 + pick(6), 4 + pick(20));
+        if (pick(4) == 0) job.zone = pick(2) == 0 ? "a" : "b";
+        if (job.kind == wire::JobKind::gang && pick(2) == 0) {
+          job.klass = "urgent";
+          job.priority = wire::Priority::high;
+        }
+        job.team = pick(3) == 0 ? "red" : "blue";
+        job.checkpoint_s = 2;
+        job.save_s = 1;
+        const int status = w.submit(node, job).status;
+        if (status == 201 || status == 200) accepted.push_back(id);
+        EXPECT_TRUE(status == 201 || status == 200 || status == 503 || status == 0) << status;
+        break;
+      }
+      case 0:
+        late_writes = late_writes == 0 ? 40 : 0;
+        break;
+      case 1:
+        late_reports = late_reports == 0 ? 30 : 0;
+        break;
+      case 2:
+        deaf = deaf.empty() && !w.cloud.machines.empty() ? machine()->first : "";
+        break;
+      case 3:
+        mute = mute.empty() && !w.cloud.machines.empty() ? machine()->first : "";
+        break;
+      case 4:
+        refused = refused.empty() ? w.leader() : "";
+        break;
+      case 5:
+        alone = alone.empty() ? w.leader() : "";
+        break;
+      case 6:
+        w.state.down = true;
+        break;
+      case 7:
+        // The store refuses the leader, then everybody, while users call jobs off.
+        refused = w.leader();
+        for (int i = 0; i < 3 && !accepted.empty(); ++i)
+          call_off(accepted[pick(static_cast<unsigned>(accepted.size()))]);
+        w.time.run_for(static_cast<Ms>(pick(3000)));
+        w.state.down = true;
+        break;
+      case 8:
+        // Called off at once, and some of the machines stand still.
+        for (int i = 0; i < 3 && !w.cloud.machines.empty(); ++i)
+          if (machine()->second) machine()->second->hang(static_cast<Ms>(pick(30000)));
+        for (int i = 0; i < 3 && !accepted.empty(); ++i)
+          call_off(accepted[pick(static_cast<unsigned>(accepted.size()))]);
+        break;
+      case 9:
+        // At the moment of the last task's end.
+        if (!accepted.empty()) {
+          const std::string one = accepted[pick(static_cast<unsigned>(accepted.size()))];
+          for (int i = 0; i < 300 && w.left(one) > 0; ++i) w.time.run_for(50);
+          call_off(one);
+          w.poll(node, one);
+          w.submit(node, w.judge.jobs[one].spec);
+        }
+        break;
+      case 10:
+        if (!w.cloud.machines.empty()) machine()->second->die();
+        break;
+      case 11:
+        if (!w.cloud.machines.empty()) w.cloud.restart(std::string(machine()->first));
+        break;
+      case 12: {
+        const std::string first = w.leader();
+        if (first.empty()) break;
+        w.kill(first);
+        if (pick(2) == 0) {
+          w.time.run_for(static_cast<Ms>(pick(900)));
+          w.start(first);
+        } else {
+          down.insert(first);
+        }
+        break;
+      }
+      case 13:
+        for (const char* n : {"n0", "n1", "n2"}) {
+          w.kill(n);
+          down.insert(n);
+        }
+        break;
+    }
+    if (down.count(node) == 0 && !accepted.empty())
+      w.poll(node, accepted[pick(static_cast<unsigned>(accepted.size()))]);
+    w.time.run_for(static_cast<Ms>(pick(7000)));
+    if (w.state.down && pick(6) == 0) w.state.come_back();
+    if (!refused.empty() && pick(4) == 0) refused.clear();
+    if (!alone.empty() && pick(5) == 0) alone.clear();
+    while (!down.empty() && pick(2) == 0) {
+      w.start(*down.begin());
+      down.erase(down.begin());
+    }
+  }
+  severity = late_writes = late_reports = 0;
+  deaf = mute = refused = alone = "";
+  w.state.come_back();
+  for (const std::string& n : down) w.start(n);
+  const Ms over = w.time.now();
+  std::set<std::string> unheard(accepted.begin(), accepted.end());
+  std::set<std::string> untold = called_off;
+  while (w.time.now() - over < 75000 && !(unheard.empty() && untold.empty())) {
+    for (auto it = untold.begin(); it != untold.end();)
+      it = w.cancel("n" + std::to_string(pick(3)), *it).status == 200 ? untold.erase(it)
+                                                                      : std::next(it);
+    for (auto it = unheard.begin(); it != unheard.end();)
+      it = w.poll("n" + std::to_string(pick(3)), *it).status == 200 ? unheard.erase(it)
+                                                                    : std::next(it);
+    w.time.run_for(500);
+  }
+  EXPECT_TRUE(unheard.empty()) << *unheard.begin();
+  EXPECT_TRUE(untold.empty()) << *untold.begin();
+  // Little enough is open that all of it fits, one after another.
+  w.time.run_until(std::max(w.time.now(), over + 90000));
+  for (const std::string& id : accepted)
+    if (!w.judge.jobs[id].cancelled) {
+      EXPECT_EQ(w.not_begun(id), 0) << id << " waits\n" << w.state.dump("work/" + id);
+    }
+  for (const std::string& id : accepted)
+    EXPECT_TRUE(w.reaches(id, w.judge.jobs[id].cancelled ? "withdrawn" : "done", 90000)) << id;
+  w.time.run_for(45000);
+  w.expect_rules();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, Days, ::testing::Range(1u, 13u));
+
 }  // namespace
 }  // namespace seampass::standins
--- a/tests/standins/sim.h
+++ b/tests/standins/sim.h
@@ -89,7 +89,10 @@
  public:
   SimNet(SimTime& time, unsigned seed) : time_(time), random_(seed) {}
 
-  void serve(const std::string& endpoint, Service service) {
+  // one_life: whatever was on its way to an earlier life of the service does not reach the next
+  // one, which knows nothing of that connection.
+  void serve(const std::string& endpoint, Service service, bool one_life = false) {
+    if (one_life) ++lives_[endpoint];
     services_[endpoint] = std::move(service);
   }
   void silence(const std::string& endpoint) { services_.erase(endpoint); }
@@ -125,17 +128,18 @@
       done({net::Reply::Fate::unknown, 0, {}});
     });
     if (fate.never) return;
+    const int life = lives_[call.endpoint];
     if (fate.copy)
-      time_.after(*fate.copy, [this, call] {
+      time_.after(*fate.copy, [this, call, life] {
         const auto it = services_.find(call.endpoint);
-        if (it != services_.end())
+        if (it != services_.end() && lives_[call.endpoint] == life)
           it->second({call.method, call.path, call.body}, [](net::Response) {});
       });
     const bool deaf = fate.lose_answer || fate.late.has_value();
     time_.after(fate.late.value_or(latency()),
-                [this, alive, call, done, answered, deaf, body = fate.body] {
+                [this, alive, call, done, answered, deaf, life, body = fate.body] {
                   const auto it = services_.find(call.endpoint);
-                  if (it == services_.end()) return;
+                  if (it == services_.end() || lives_[call.endpoint] != life) return;
                   it->second({call.method, call.path, call.body},
                              [this, alive, done, answered, deaf, body](net::Response r) {
                                if (deaf) return;
@@ -153,6 +157,7 @@
   SimTime& time_;
   std::mt19937 random_;
   std::map<std::string, Service> services_;
+  std::map<std::string, int> lives_;
   Rule rule_;
   std::function<bool(const std::string&, const std::string&)> passes_;
 };
--- a/tests/standins/workers.h
+++ b/tests/standins/workers.h
@@ -74,7 +74,8 @@
         spot_(spot),
         nodes_(std::move(nodes)),
         alive_(std::make_shared<bool>(true)) {
-    net_.serve(addr(), [this](const net::Request& r, net::Answer a) { handle(r, a); });
+    net_.serve(
+        addr(), [this](const net::Request& r, net::Answer a) { handle(r, a); }, true);
     answered_sent_ = now();
     report();
     watch_lease();
@@ -93,12 +94,7 @@
   }
   void fail_next(wire::ExitCause cause) { forced_ = cause; }
   // Executes nothing for so long; what arrives meanwhile is taken afterwards, in order.
-  void hang(Ms d) {
-    hung_until_ = now() + d;
-    net_.time().after(d, [alive = alive_, this] {
-      if (*alive) expire();
-    });
-  }
+  void hang(Ms d) { hung_until_ = now() + d; }
   std::optional<double> notice;
 
  private:
@@ -289,8 +285,10 @@
     ++session_;
     answered_sent_ = now();
   }
+  // (A machine that hangs may go on within its lease, and not after it.)
   void watch_lease() {
-    after(200, [this] {
+    net_.time().after(200, [this, alive = alive_] {
+      if (!*alive) return;
       expire();
       watch_lease();
     });
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -44,6 +44,8 @@
 class World {
  public:
   // LOG_LEVEL=debug in the environment shows what the controllers log.
+  ~World() { *user_ = false; }
+  World(const World&) = delete;
   explicit World(unsigned seed = 1, int machines = 4)
       : net(time, seed), state(time), cloud(net, judge, {3000, 20000, 300}, {"n0", "n1", "n2"}) {
     const char* level = std::getenv("LOG_LEVEL");
@@ -128,6 +130,13 @@
     }
     return {};
   }
+  // Asks and goes on; the answer counts when it comes.
+  void cancel_soon(const std::string& node, const std::string& id) {
+    net.call("user", user_, {node + ":8080", "POST", "/api/jobs/" + id + "/abort", "", 5000},
+             [this, id](const net::Reply& r) {
+               heard(id, {r.status, wire::Json::parse(r.body, nullptr, false)});
+             });
+  }
   Told poll(const std::string& node, const std::string& id) {
     return heard(id, ask(node, "GET", "/api/jobs/" + id));
   }
@@ -137,6 +146,19 @@
     for (const auto& [task, machine] : judge.on) n += task.job == id ? 1 : 0;
     return n;
   }
+  // Its tasks that are not done, and those that were never started.
+  int left(const std::string& id) const {
+    int n = 0;
+    for (std::uint32_t i = 0; i < judge.jobs.at(id).spec.tasks; ++i)
+      n += judge.done.count({id, i}) == 0 ? 1 : 0;
+    return n;
+  }
+  int not_begun(const std::string& id) const {
+    int n = 0;
+    for (std::uint32_t i = 0; i < judge.jobs.at(id).spec.tasks; ++i)
+      n += judge.done.count({id, i}) == 0 && judge.on.count({id, i}) == 0 ? 1 : 0;
+    return n;
+  }
   // True once a poll says `stage`.
   bool reaches(const std::string& id, const std::string& stage, Ms within) {
     const Ms end = time.now() + within;
@@ -233,6 +255,7 @@
   std::map<std::string, std::unique_ptr<SimNode>> nodes_;
   std::map<std::string, std::string> last_;
   std::vector<net::Call> recorded_;
+  std::shared_ptr<bool> user_ = std::make_shared<bool>(true);
 };
 
 inline wire::Job array_job(const std::string& id, std::uint32_t tasks, double run_s = 5) {
