A job that fails everywhere shuts no machine to the others, and is tried with one task

Cause: an error closed its machine to new starts for a lease and the third drained it, whoever failed; a job submitted with a mistake so closed one machine after another. Now an error on a second machine, with nothing done in between, is the job's: nothing is held against the machines it failed on, and while none of its tasks runs it takes room for one. A machine is returned once three jobs failed there that do not fail elsewhere.

Test: Trouble.JobThatFailsEverywhereIsInNobodysWay.

--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -58,7 +58,8 @@
   std::map<std::uint32_t, Charge> charges;
   std::uint32_t running = 0;
   net::Ms retry_at = 0;
-  int failures = 0;
+  int failures = 0;  // since a task of it was done, and on which machines
+  std::set<std::string> failed_on;
   // Task and machine where an attempt ended without a result and is not forgotten.
   std::set<std::pair<std::uint32_t, std::string>> leftovers;
   // Gangs.
@@ -75,6 +76,7 @@
   wire::Stage stage = wire::Stage::queued;
   std::vector<std::function<void(const rpc::Answer&)>> waiters;
 
+  bool broken() const { return failed_on.size() > 1; }
   bool gang() const { return spec.kind == wire::JobKind::gang; }
 };
 
@@ -136,6 +138,7 @@
 
   // Workers: reports.cc.
   void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
+  void blame(JobRecord& job, Machine& machine);
   void task_exited(Charge& charge, const wire::TaskReport& task);
   bool may_forget(const Machine& machine, const wire::TaskReport& task) const;
   // A start of it, or a copy of one, may reach the machine late.
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -41,7 +41,7 @@
   std::optional<net::Ms> taken_at;  // spot notice
   net::Ms idle_since = 0;
   net::Ms suspect_until = 0;
-  int errors = 0;
+  std::set<std::string> failed_jobs;  // since a task was done here
   std::map<std::pair<std::string, std::uint32_t>, Charge*> charges;
   std::string claimed_by;  // a job that room is being cleared for
   net::Ms claimed_until = 0;
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -165,7 +165,11 @@
     const bool gang = job->gang();
     if (gang && !job->charges.empty()) continue;  // the next attempt waits for all of the last
     sched::JobView v;
-    for (std::uint32_t t = job->hint; t < job->spec.tasks && v.pending.size() < kPassTasks; ++t) {
+    // A job that fails everywhere takes room for one task, to see whether it still does.
+    const bool one = job->broken() && job->running == 0 && !gang;
+    if (one && !job->charges.empty()) continue;
+    const std::size_t most = one ? 1 : kPassTasks;
+    for (std::uint32_t t = job->hint; t < job->spec.tasks && v.pending.size() < most; ++t) {
       if (!job->taken[t]) v.pending.push_back(t);
       // A gang is placed whole, however large.
       if (gang && v.pending.size() == kPassTasks && job->spec.tasks > kPassTasks) {
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -17,6 +17,8 @@
 namespace {
 // Ended attempts that a machine's reports may carry because they can't be forgotten.
 constexpr std::size_t kMostLeft = 32;
+// A machine on which so many jobs failed that do not fail elsewhere is returned.
+constexpr std::size_t kMostFailed = 3;
 }  // namespace
 
 Charge& Controller::charge(JobRecord& job, std::uint32_t task, std::uint64_t attempt,
@@ -284,6 +286,23 @@
   return verdict && verdict->stage == wire::Stage::done;
 }
 
+// The machine is the likelier culprit, unless the job fails elsewhere as well, with nothing of it
+// done in between: then nothing is held against any machine that it failed on.
+void Controller::blame(JobRecord& job, Machine& m) {
+  job.failed_on.insert(m.name);
+  if (job.broken()) {
+    for (const std::string& name : job.failed_on) {
+      Machine* other = fleet_.find(name);
+      if (other && other->failed_jobs.erase(job.spec.id) != 0 && other->failed_jobs.empty())
+        other->suspect_until = 0;
+    }
+    return;
+  }
+  m.failed_jobs.insert(job.spec.id);
+  m.suspect_until = runtime_.now() + net::ms(settings_.lease_s);
+  if (m.failed_jobs.size() >= kMostFailed) m.draining = true;
+}
+
 void Controller::task_exited(Charge& c, const wire::TaskReport& t) {
   JobRecord& job = *c.job;
   Machine& m = *c.machine;
@@ -295,8 +314,9 @@
                 m.name, static_cast<int>(t.cause), told);
   if (t.cause == ExitCause::done) {
     m.images.insert(job.spec.image);
-    m.errors = 0;
+    m.failed_jobs.clear();
     job.failures = 0;
+    job.failed_on.clear();
     if (job.spec.kind != wire::JobKind::service) {
       if (gang) {
         // They complete together: one that is done says so of all.
@@ -312,11 +332,9 @@
   switch (t.cause) {
     case ExitCause::error:
       ++job.failures;
-      ++m.errors;
-      // The machine is the likelier culprit, unless the job fails elsewhere as well.
-      m.suspect_until = now + net::ms(settings_.lease_s);
-      job.retry_at = now + report * (1 << std::min(job.failures, 5));
-      if (m.errors >= 3) m.draining = true;
+      blame(job, m);
+      job.retry_at =
+          now + std::min(report * (1 << std::min(job.failures, 5)), net::ms(settings_.lease_s));
       break;
     case ExitCause::unknown:
     case ExitCause::busy:
--- a/tests/standins/workers.h
+++ b/tests/standins/workers.h
@@ -21,6 +21,7 @@
 struct JobFacts {
   wire::Job spec;
   bool accepted = false;
+  bool mistaken = false;  // fails on every machine
   bool cancelled = false;
   Ms cancelled_at = 0;
 };
@@ -268,6 +269,7 @@
       task->on = true;
       judge_.started(key, name_, now());
       if (judge_.done.count(key) != 0) return exit(key, wire::ExitCause::done);
+      if (judge_.jobs[key.job].mistaken) return exit(key, wire::ExitCause::error);
       if (forced_) {
         const auto cause = *forced_;
         forced_.reset();
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -342,6 +342,30 @@
   }
 }
 
+// A job that was submitted with a mistake fails everywhere until it is cancelled: it shuts no
+// machine to the others, and is tried now and then with one task.
+TEST(Trouble, JobThatFailsEverywhereIsInNobodysWay) {
+  World w(1, 4);
+  w.cloud.capacity = 4;
+  ASSERT_TRUE(w.settle());
+  w.judge.jobs["wk-1"].mistaken = w.judge.jobs["wk-2"].mistaken = true;
+  w.submit("n0", array_job("wk-1", 8, 60));
+  w.submit("n0", gang_job("wk-2", 2, 60));
+  w.time.run_for(4000);
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "wk-" + std::to_string(10 + i);
+    EXPECT_EQ(w.submit("n1", array_job(id, 8, 5)).status, 201);
+    EXPECT_TRUE(w.reaches(id, "done", 15000)) << id;
+  }
+  const int before = w.starts();
+  w.time.run_for(60000);
+  EXPECT_LE(w.starts() - before, 10);
+  EXPECT_GT(w.starts() - before, 1);
+  EXPECT_EQ(w.cancel_until_told("n2", "wk-1", 5000).stage(), "withdrawn");
+  EXPECT_EQ(w.cancel_until_told("n2", "wk-2", 5000).stage(), "withdrawn");
+  w.expect_rules();
+}
+
 // Small gangs come as fast as they end, with two that need most of the zone waiting.
 TEST(Trouble, LargeGangsAreNotStarvedBySmallOnes) {
   World w(1, 0);
