What may not run in one zone and fits no other is refused; every required field tested missing and null

A gang or service of more than one task with apart, bound to one zone, was accepted and could never run: 422 now. Each required field is tested missing and null. A test of a start that is held up while its job is cancelled.

--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 
 #include "sched/picture.h"
 
@@ -85,12 +86,15 @@
 std::string Desk::impossible(const wire::Job& job) const {
   const config::Team* team = settings_.team(job.team);
   if (!team) return "unknown team";
-  bool fits = false;
-  for (const auto& [name, t] : types_.types()) {
-    if (job.zone && std::find(t.zones.begin(), t.zones.end(), *job.zone) == t.zones.end()) continue;
-    fits = fits || sched::hosts(t, job);
-  }
-  if (!fits) return "a task fits no allowed machine type";
+  std::set<std::string> zones;  // where a task fits an allowed type
+  for (const auto& [name, t] : types_.types())
+    for (const std::string& zone : t.zones)
+      if (sched::hosts(t, job) && (!job.zone || *job.zone == zone)) zones.insert(zone);
+  if (zones.empty()) return "a task fits no allowed machine type";
+  // What must run all at once, and at most half of it in one zone.
+  if (job.kind != wire::JobKind::array && job.spread && job.tasks > 1 &&
+      (job.one_zone || zones.size() < 2))
+    return "its tasks may not be in one zone, and fit no other";
   // An array runs if one task does; gangs and services need all at once.
   const double n = job.kind == wire::JobKind::array ? 1 : job.tasks;
   constexpr double slack = 1e-6;
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -41,6 +41,20 @@
   job.cpus = 9;
   EXPECT_EQ(w.submit("n0", job).status, 422);
   EXPECT_EQ(w.submit("n0", gang_job("wk-1", 17)).status, 422);  // 16 GPUs at most
+  // Half of it at most in one zone, and no other allowed.
+  job = gang_job("wk-1", 2);
+  job.spread = true;
+  EXPECT_EQ(w.submit("n0", job).status, 422);  // one_zone
+  job.one_zone = false;
+  job.zone = "a";
+  EXPECT_EQ(w.submit("n0", job).status, 422);
+  job.zone.reset();
+  job.types = {{"small"}};
+  EXPECT_EQ(w.submit("n0", job).status, 422);
+  job.types.reset();
+  job.id = "wk-3";
+  EXPECT_EQ(w.submit("n0", job).status, 201);
+  EXPECT_TRUE(w.reaches("wk-3", "done", 60000));
   EXPECT_EQ(w.submit("n0", array_job("wk-2", 17)).status, 201);
   EXPECT_EQ(w.ask("n0", "POST", "/api/jobs", "[]").status, 400);
   EXPECT_EQ(w.ask("n0", "DELETE", "/api/jobs").status, 405);
@@ -48,7 +62,7 @@
   EXPECT_EQ(w.ask("n0", "POST", "/checkin", "{}").status, w.leader() == "n0" ? 400 : 421);
   w.state.down = true;
   const Ms before = w.time.now();
-  EXPECT_EQ(w.submit("n1", array_job("wk-3", 1)).status, 503);
+  EXPECT_EQ(w.submit("n1", array_job("wk-4", 1)).status, 503);
   EXPECT_LT(w.time.now() - before, 1500);  // at once, not held
   w.expect_rules();
 }
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -369,6 +369,29 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, Days, ::testing::Range(1u, 13u));
 
+// A start is held up on its way to its machine, and its job is cancelled meanwhile: the user is
+// told within a few reports, the start does nothing when it comes, and the machine's other work
+// goes on.
+TEST(MeetingsOfTwo, StartHeldUpWhileItsJobIsCancelled) {
+  World w(1, 1);
+  w.cloud.capacity = 1;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-900", 1, 40));
+  ASSERT_TRUE(w.reaches("wk-900", "running", 30000));
+  w.net.set_rule([](const std::string&, const net::Call& c) {
+    Fate f;
+    if (c.path == "/commands" && c.body.find("\"run\"") != std::string::npos) f.late = 15000;
+    return f;
+  });
+  w.submit("n0", array_job("wk-1", 1, 100));
+  w.time.run_for(500);
+  EXPECT_EQ(w.cancel_until_told("n1", "wk-1", 12000).stage(), "withdrawn");
+  w.time.run_for(30000);
+  EXPECT_TRUE(w.reaches("wk-900", "done", 20000));
+  EXPECT_EQ(w.judge.starts[(TaskKey{"wk-900", 0})], 1);
+  w.expect_rules();
+}
+
 // Two machines; the first has more than one session behind it, and one of its old reports comes
 // back later.
 struct FormerLife {
--- a/tests/wire_test.cc
+++ b/tests/wire_test.cc
@@ -62,10 +62,14 @@
       EXPECT_NE(std::string(e.what()).find(c.field), std::string::npos) << e.what();
     }
   }
-  for (const char* field : {"ref", "shape", "pours", "cpus", "together", "expected_s"}) {
+  for (const char* field : {"ref", "cuvee_class", "owner_crew", "shape", "rank", "pours", "cpus",
+                            "accelerators", "memory_gb", "blend", "pull_gb", "together", "apart",
+                            "lent_racks", "expected_s", "rack_every_s", "rack_s"}) {
     Json o = Json::parse(kJob);
+    o[field] = nullptr;
+    EXPECT_THROW(job_from(o), Malformed) << field << " null";
     o.erase(field);
-    EXPECT_THROW(job_from(o), Malformed) << field;
+    EXPECT_THROW(job_from(o), Malformed) << field << " missing";
   }
   for (const char* field : {"barrels", "cellar", "due_s"}) {  // null may also be missing
     Json o = Json::parse(kJob);
