--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -149,7 +149,7 @@
     for (const auto& [task, machine] : judge.on) n += task.job == id ? 1 : 0;
     return n;
   }
-  // Its tasks that are not done, and those that were never started.
+  // Its tasks that are not done; and those that, moreover, are on no machine now.
   int left(const std::string& id) const {
     int n = 0;
     for (std::uint32_t i = 0; i < judge.jobs.at(id).spec.tasks; ++i)
