What a report lacks is confirmed by an inspection; no bound on attempts kept back

Cause: a report held up since before a machine ended and was back can carry a higher count than what the machine's next life has said so far, and lacks the task that runs there. Change: absence in a report is a question; GET /inspect, asked after it, is the answer. An attempt that was never seen and is to stop is started and stopped in one go, so that its end is reported. An unanswered start counts from when it was given up. Starts beyond 32 that can't be forgotten travel in answers to check-ins, which no copy repeats: nothing done of an open job is forgotten early, and no machine is given up for it. Ruled out: a second report (both may be copies), session or count alone (a former life may have had more).

--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -38,7 +38,9 @@
   bool durable = false;
   bool sent = false;  // a start may have reached the worker
   bool seen = false;
-  int in_flight = 0;  // starts on their way through /commands
+  bool missing = false;  // a report lacked it; not confirmed yet
+  int in_flight = 0;     // starts on their way through /commands
+  net::Ms start_sent_at = 0;
   wire::TaskState state = wire::TaskState::fetching;
   net::Ms running_since = 0;
   bool stop = false;
@@ -140,9 +142,11 @@
   void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
   void blame(JobRecord& job, Machine& machine);
   void task_exited(Charge& charge, const wire::TaskReport& task);
+  void confirm_missing(Machine& machine);
+  void take_inspection(Machine& machine, const wire::WorkerReport& report,
+                       const std::vector<AttemptName>& asked);
+  void release_missing(const std::vector<Charge*>& missing);
   bool may_forget(const Machine& machine, const wire::TaskReport& task) const;
-  // A start of it, or a copy of one, may reach the machine late.
-  bool may_come_late(const Charge& charge) const;
   std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
   void send(Machine& machine, std::vector<wire::Command> commands);
   void unanswered(Machine& machine);
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -37,7 +37,8 @@
   // Session and seq of the latest check-in that showed this leader's warrant, and of the latest
   // that did not.
   std::pair<std::uint64_t, std::uint64_t> checkin, early;
-  net::Ms obeyed = -1;              // last answer to a command; -1: none
+  net::Ms obeyed = -1;              // last command that was, or may have been, executed; -1: none
+  bool inspecting = false;          // an inspection is on its way
   std::optional<net::Ms> taken_at;  // spot notice
   net::Ms idle_since = 0;
   net::Ms suspect_until = 0;
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -541,6 +541,9 @@
   std::vector<Machine*> expired;
   for (auto& [name, m] : fleet_.machines()) {
     if (m.charges.empty()) continue;
+    const bool in_flight = std::any_of(m.charges.begin(), m.charges.end(),
+                                       [](const auto& e) { return e.second->in_flight > 0; });
+    if (in_flight) continue;
     // Until a worker has shown this warrant, the former leader may have answered it last.
     const bool ours = m.heard >= 0 && m.token >= election_.warrant();
     // A worker that ended and was back at once began a lease of its own; what it was told to start
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -15,8 +15,11 @@
 using wire::Verb;
 
 namespace {
-// Ended attempts that a machine's reports may carry because they can't be forgotten.
+// Attempts on one machine that can't be forgotten, since their starts may come once more: they make
+// its reports longer.
 constexpr std::size_t kMostLeft = 32;
+// For so long a worker may take the answer to a check-in (by the protocol).
+constexpr Ms kAnswerLife = 4000;
 // A machine on which so many jobs failed that do not fail elsewhere is returned.
 constexpr std::size_t kMostFailed = 3;
 }  // namespace
@@ -226,6 +229,7 @@
     present.insert({t.job, t.index});
     if (!c->seen) m.deaf_since.reset();
     c->seen = true;
+    c->missing = false;
     const auto& image = c->job->spec.image;
     if (t.state == TaskState::exited) {
       exits.emplace_back(c, t);
@@ -234,19 +238,13 @@
       set_state(*c, t.state);
     }
   }
+  bool any_missing = false;
   for (const auto& [key, c] : m.charges) {
     if (present.count(key) != 0) continue;
-    if (m.session > c->session) {
-      absent.push_back(c);  // its session is over, and all that was on it
-    } else if (m.session < c->session) {
-      // The machine has ended and begun anew since: sessions only rise, and this one was alive
-      // under this leader, the recorded one before.
-      absent.push_back(c);
-    } else if (checkin && c->in_flight == 0 && c->sent) {
-      // A check-in after the start was answered (or given up) lacks it. A start that may still
-      // come late keeps its charge, and orders_for() makes it harmless.
-      if (c->seen || (c->stop && !may_come_late(*c))) absent.push_back(c);
-    }
+    // Its session is over, or the machine has begun anew with fewer; or it was there, and a
+    // check-in lacks it.
+    c->missing = c->missing || c->session != m.session || (checkin && c->seen);
+    any_missing = any_missing || c->missing;
   }
   // Releasing can end jobs and move others, so what follows goes by name.
   std::set<std::string> touched;
@@ -254,34 +252,96 @@
     touched.insert(t.job);
     task_exited(*c, t);
   }
-  for (Charge* c : absent) {
-    touched.insert(c->job->spec.id);
-    const std::string id = c->job->spec.id;
-    release(*c);
-    const auto it = jobs_.find(id);
-    if (it != jobs_.end()) lost_attempt(*it->second);
-  }
   for (const std::string& id : touched) {
     const auto it = jobs_.find(id);
     if (it != jobs_.end()) maybe_done(*it->second);
   }
-  // What can't be forgotten makes every report longer.
-  if (m.exited.size() > kMostLeft && !m.draining)
-    m.draining = std::count_if(report.tasks.begin(), report.tasks.end(), [&](const auto& t) {
-                   return t.state == TaskState::exited && !may_forget(m, t);
-                 }) > static_cast<std::ptrdiff_t>(kMostLeft);
   if (m.draining && m.charges.empty() && !m.deleting) fleet_.remove(m);
+  if (any_missing) confirm_missing(m);
+}
+
+// A report that lacks a task proves nothing by itself: it may have been held up since before the
+// machine ended and was back, and its session and count may be above those of the machine's present
+// life, in which the task runs. (That a report has the attempt as ended does prove it: attempts are
+// numbered once.) So the machine is asked what is on it now, by a request whose answer can come
+// from nobody else.
+void Controller::confirm_missing(Machine& m) {
+  if (m.inspecting || m.deleting) return;
+  std::vector<AttemptName> asked;
+  for (const auto& [key, c] : m.charges) {
+    // A start that was never seen may be on its way, in the answer to a check-in; the worker takes
+    // no answer that is older than this.
+    const bool settled = c->seen || runtime_.now() - c->start_sent_at > kAnswerLife;
+    if (c->missing && c->in_flight == 0 && settled)
+      asked.emplace_back(key.first, key.second, c->attempt);
+  }
+  if (asked.empty()) return;
+  m.inspecting = true;
+  const std::uint64_t term = term_;
+  workers_.inspect(
+      m.addr, [this, term, name = m.name, asked](const std::optional<wire::WorkerReport>& report) {
+        Machine* machine = term == term_ ? fleet_.find(name) : nullptr;
+        if (!machine) return;
+        machine->inspecting = false;
+        if (!report || report->machine != name) return unanswered(*machine);
+        if (report->token > election_.warrant()) return election_.lost();
+        take_inspection(*machine, *report, asked);
+      });
+}
+
+void Controller::take_inspection(Machine& m, const wire::WorkerReport& report,
+                                 const std::vector<AttemptName>& asked) {
+  std::map<AttemptName, const wire::TaskReport*> there;
+  for (const wire::TaskReport& t : report.tasks) there[{t.job, t.index, t.attempt}] = &t;
+  std::vector<Charge*> gone;
+  std::vector<std::pair<AttemptName, wire::TaskReport>> exits;
+  for (const AttemptName& name : asked) {
+    const auto it = m.charges.find({std::get<0>(name), std::get<1>(name)});
+    if (it == m.charges.end() || it->second->attempt != std::get<2>(name)) continue;
+    Charge* c = it->second;
+    if (!c->missing || c->in_flight > 0) continue;
+    const auto found = there.find(name);
+    if (found == there.end()) {
+      gone.push_back(c);
+      continue;
+    }
+    c->missing = false;
+    c->seen = true;
+    if (found->second->state == TaskState::exited) exits.emplace_back(name, *found->second);
+  }
+  release_missing(gone);
+  for (const auto& [name, t] : exits) {
+    Charge* c = find_charge(t.job, t.index);
+    if (c && c->attempt == t.attempt && c->machine == &m) task_exited(*c, t);
+  }
+}
+
+void Controller::release_missing(const std::vector<Charge*>& missing) {
+  std::set<std::string> jobs;
+  for (Charge* c : missing) {
+    jobs.insert(c->job->spec.id);
+    spdlog::debug("{}/{} try {} is not on {} any more", c->job->spec.id, c->task, c->attempt,
+                  c->machine->name);
+    release(*c);
+  }
+  for (const std::string& id : jobs) {
+    const auto it = jobs_.find(id);
+    if (it == jobs_.end()) continue;
+    lost_attempt(*it->second);
+    const auto again = jobs_.find(id);
+    if (again != jobs_.end()) maybe_done(*again->second);
+  }
 }
 
 // A late copy of a start finds the attempt for as long as the worker knows it, and does nothing.
 // Once it is forgotten the copy would start it again: an attempt that ended without a result while
 // another runs elsewhere, and any of a cancelled job. (One that is done would only say so again,
-// but its job may be cancelled yet; there the reports' length decides.)
+// but its job may be cancelled yet.)
 bool Controller::may_forget(const Machine& m, const wire::TaskReport& t) const {
   if (m.started.count({t.job, t.index, t.attempt}) == 0) return true;
   if (t.cause != ExitCause::done) return false;
   const auto j = jobs_.find(t.job);
-  if (j != jobs_.end() && !j->second->ended) return m.exited.size() > kMostLeft;
+  if (j != jobs_.end() && !j->second->ended) return false;
   const auto verdict = archive_.verdict(t.job);
   return verdict && verdict->stage == wire::Stage::done;
 }
@@ -353,10 +413,6 @@
   if (gang && it != jobs_.end()) lost_attempt(*it->second);
 }
 
-bool Controller::may_come_late(const Charge& c) const {
-  return c.machine->started.count({c.job->spec.id, c.task, c.attempt}) != 0;
-}
-
 std::vector<wire::Command> Controller::orders_for(Machine& m, const wire::WorkerReport& report) {
   std::vector<wire::Command> orders;
   std::set<std::pair<std::string, std::uint32_t>> present;
@@ -388,15 +444,17 @@
     if (present.count(key) != 0 || !c->durable || c->in_flight > 0 || c->seen) continue;
     if (c->session != m.session) continue;
     if (c->stop) {
-      // A start without an answer may come at any time. Started and stopped in one go, the attempt
-      // is known to the worker, and the late start does nothing.
-      if (!may_come_late(*c)) continue;
+      c->start_sent_at = runtime_.now();
+      // It was never seen, and its start may come at any time. Started and stopped in one go, the
+      // attempt is known to the worker, the late start does nothing, and the next report has it as
+      // ended.
       orders.push_back({Verb::start, key.first, key.second, c->attempt, 0});
       orders.push_back({Verb::stop, key.first, key.second, c->attempt, 0});
       continue;
     }
     if (c->job->ending) continue;
     c->sent = true;
+    c->start_sent_at = runtime_.now();
     orders.push_back({Verb::start, key.first, key.second, c->attempt, 0});
   }
   return orders;
@@ -411,28 +469,33 @@
   const std::uint64_t session = m.session;
   const std::string name = m.name;
   m.started.insert(starts.begin(), starts.end());
-  workers_.send(m.addr, election_.warrant(), session, commands,
-                [this, term, name, session, starts](
-                    workers::Sent sent, const std::optional<wire::WorkerReport>& report) {
-                  if (term != term_) return;
-                  for (const auto& [id, task, attempt] : starts) {
-                    Charge* c = find_charge(id, task);
-                    if (c && c->attempt == attempt) --c->in_flight;
-                  }
-                  Machine* machine = fleet_.find(name);
-                  if (!machine) return;
-                  // Certainly not executed, and no copy of it ever will be.
-                  if (sent == workers::Sent::not_sent || sent == workers::Sent::rejected)
-                    for (const AttemptName& s : starts) machine->started.erase(s);
-                  if (sent == workers::Sent::executed) machine->obeyed = runtime_.now();
-                  if (sent == workers::Sent::unknown || sent == workers::Sent::not_sent)
-                    unanswered(*machine);
-                  else
-                    machine->deaf_since.reset();
-                  if (!report || report->machine != name) return;
-                  if (report->token > election_.warrant()) return election_.lost();
-                  take_report(*machine, *report, false);
-                });
+  // A worker that began anew just now runs what it is told until its own lease is over, whether its
+  // answer comes or not.
+  if (!starts.empty()) m.obeyed = runtime_.now();
+  workers_.send(
+      m.addr, election_.warrant(), session, commands,
+      [this, term, name, session, starts](workers::Sent sent,
+                                          const std::optional<wire::WorkerReport>& report) {
+        if (term != term_) return;
+        for (const auto& [id, task, attempt] : starts) {
+          Charge* c = find_charge(id, task);
+          if (c && c->attempt == attempt) --c->in_flight;
+        }
+        Machine* machine = fleet_.find(name);
+        if (!machine) return;
+        // Certainly not executed, and no copy of it ever will be.
+        if (sent == workers::Sent::not_sent || sent == workers::Sent::rejected)
+          for (const AttemptName& s : starts) machine->started.erase(s);
+        if (sent == workers::Sent::executed || (sent == workers::Sent::unknown && !starts.empty()))
+          machine->obeyed = runtime_.now();
+        if (sent == workers::Sent::unknown || sent == workers::Sent::not_sent)
+          unanswered(*machine);
+        else
+          machine->deaf_since.reset();
+        if (!report || report->machine != name) return;
+        if (report->token > election_.warrant()) return election_.lost();
+        take_report(*machine, *report, false);
+      });
 }
 
 // A machine can be heard and yet not hear us. New starts avoid it for a while; if it is the same
@@ -444,8 +507,9 @@
   if (!m.deaf_since) m.deaf_since = now;
   if (now - *m.deaf_since < pause || m.deleting) return;
   m.draining = true;
-  const bool idle = std::none_of(m.charges.begin(), m.charges.end(),
-                                 [](const auto& entry) { return entry.second->seen; });
+  const bool idle = std::none_of(m.charges.begin(), m.charges.end(), [](const auto& entry) {
+    return entry.second->seen && !entry.second->missing;
+  });
   if (idle) fleet_.remove(m);
 }
 
@@ -461,11 +525,16 @@
     Charge& c = it->second;
     c.durable = true;
     if (c.stop || c.sent || j->second->ending || !election_.holds()) continue;
+    // Each start that goes there by itself leaves an attempt that can't be forgotten for long.
+    // Those beyond the bound travel in the answer to the next check-in, of which no copy comes
+    // late.
+    if (c.machine->started.size() >= kMostLeft) continue;
     if (c.machine->session != c.session) {
       off.push_back(&c);  // never sent, and void now
       continue;
     }
     c.sent = true;
+    c.start_sent_at = runtime_.now();
     ++c.in_flight;
     auto& commands = by_machine[c.machine];
     // An earlier attempt that ended there would make this one `busy`. The record that is durable
--- a/src/workers/client.h
+++ b/src/workers/client.h
@@ -1,4 +1,4 @@
-// Commands sent straight to workers: so many at a time, the rest in their order.
+// Requests sent straight to workers: so many at a time, the rest in their order.
 #pragma once
 
 #include <deque>
@@ -22,6 +22,7 @@
 class Client {
  public:
   using Done = std::function<void(Sent, std::optional<wire::WorkerReport>)>;
+  using Inspected = std::function<void(std::optional<wire::WorkerReport>)>;
 
   // most: messages on their way at once, each of which may need a socket.
   Client(net::HttpCaller& http, net::Ms timeout, std::size_t most)
@@ -29,16 +30,19 @@
 
   void send(const std::string& addr, std::uint64_t token, std::uint64_t session,
             const std::vector<wire::Command>& commands, Done done);
+  // Reads what is on the worker now; nothing if it does not answer.
+  void inspect(const std::string& addr, Inspected done);
   // Drops what has not left yet; its askers hear nothing.
   void stop() { queue_.clear(); }
 
  private:
-  void dispatch(net::Call call, Done done);
+  void enqueue(net::Call call, net::ReplyFn done);
+  void dispatch(net::Call call, net::ReplyFn done);
 
   net::HttpCaller& http_;
   net::Ms timeout_;
   std::size_t most_, sent_ = 0;
-  std::deque<std::pair<net::Call, Done>> queue_;
+  std::deque<std::pair<net::Call, net::ReplyFn>> queue_;
 };
 
 }  // namespace seampass::workers
--- a/tests/copies_test.cc
+++ b/tests/copies_test.cc
@@ -175,6 +175,107 @@
   }
 }
 
+wire::Job pinned(const char* id, std::uint32_t tasks, double run_s, const char* zone) {
+  auto job = array_job(id, tasks, run_s);
+  job.zone = zone;
+  return job;
+}
+
+// Two machines: one in zone b, full for so long, then with room for one task; and one in zone a
+// with room for one task now, whose name is returned.
+std::string one_in_each_zone(World& w, double full_s) {
+  w.cloud.capacity = 2;
+  EXPECT_TRUE(w.settle());
+  w.submit("n0", pinned("wk-900", 1, full_s, "b"));
+  w.submit("n0", pinned("wk-901", 1, 400, "b"));
+  w.submit("n0", pinned("wk-902", 1, 400, "a"));
+  for (const char* id : {"wk-900", "wk-901", "wk-902"})
+    EXPECT_TRUE(w.reaches(id, "running", 30000));
+  return w.judge.on[(TaskKey{"wk-902", 0})];
+}
+
+// A report of a machine is held up; the machine ends, is back at once with a lower count, and is
+// given work. When the report arrives, its count makes it look newer than what the machine has said
+// since; it lacks the task, and proves nothing: the task runs.
+TEST(Copies, AReportHeldUpSinceBeforeARestartEndsNoTask) {
+  for (unsigned seed = 1; seed <= 6; ++seed) {
+    World w(seed, 2);
+    const std::string host = one_in_each_zone(w, 12);
+    net::Call held;
+    w.net.set_rule([&held, host](const std::string& from, const net::Call& c) {
+      Fate f;
+      if (from != host || c.path != "/checkin") return f;
+      held = c;
+      f.status = 503;
+      return f;
+    });
+    w.time.run_for(5500);  // its count goes on, and the leader does not hear of it
+    w.net.set_rule({});
+    w.cloud.restart(host);
+    w.submit("n0", array_job("wk-1", 1, 200));
+    ASSERT_TRUE(w.reaches("wk-1", "running", 10000));
+    ASSERT_EQ(w.judge.on[(TaskKey{"wk-1", 0})], host);
+    auto next = pinned("wk-903", 1, 400, "a");  // waits for that task's room
+    next.priority = wire::Priority::high;
+    w.submit("n0", next);
+    held.endpoint = w.leader() + ":8080";
+    w.repeat({held});
+    w.time.run_for(20000);
+    w.expect_rules();
+    EXPECT_EQ(w.judge.starts[(TaskKey{"wk-1", 0})], 1);
+  }
+}
+
+// A machine ends and is back at once; what it is told to start then is executed, and the answer is
+// lost. The task runs there until the lease that began with the machine is over, and no sooner is
+// it started elsewhere.
+TEST(Copies, AStartWithoutAnAnswerMayRunForALease) {
+  for (unsigned seed = 1; seed <= 6; ++seed) {
+    World w(seed, 2);
+    const std::string host = one_in_each_zone(w, 14);
+    bool cut = false;
+    w.net.set_rule([&cut, host](const std::string& from, const net::Call& c) {
+      Fate f;
+      f.lose_answer = c.endpoint == host + ":9000";
+      f.refuse = cut && from == host;
+      return f;
+    });
+    w.time.run_for(250 * seed);
+    cut = true;
+    w.cloud.down = true;  // no machine can be returned
+    w.time.run_for(5000);
+    w.cloud.restart(host);
+    w.submit("n0", array_job("wk-1", 1, 100));
+    w.time.run_for(50000);
+    w.expect_rules();
+    w.net.set_rule({});
+    w.cloud.down = false;
+    EXPECT_TRUE(w.reaches("wk-1", "done", 200000));
+    w.expect_rules();
+  }
+}
+
+// However many tasks of a job one machine has had: copies of their starts do nothing once the job
+// is cancelled, and the machine is not given up for that.
+TEST(Copies, OfManyStartsOnOneMachineDoNothing) {
+  World w(1, 1);
+  w.cloud.capacity = 1;
+  ASSERT_TRUE(w.settle());
+  keep_busy(w);
+  auto& commands = w.record("/commands");
+  w.submit("n0", array_job("wk-1", 100, 1));  // one at a time beside the other job
+  for (int i = 0; i < 400 && w.judge.done.size() < 50; ++i) w.time.run_for(1000);
+  ASSERT_GE(w.judge.done.size(), 50u);
+  auto urgent = array_job("wk-2", 1, 400);  // meanwhile nothing changes about the first
+  urgent.priority = wire::Priority::high;
+  w.submit("n0", urgent);
+  ASSERT_TRUE(w.reaches("wk-2", "running", 30000));
+  w.time.run_for(15000);
+  ASSERT_LT(w.judge.done.size(), 100u);
+  cancel_and_repeat(w, commands);
+  EXPECT_EQ(w.judge.starts[(TaskKey{"wk-900", 0})], 1);
+}
+
 // No worker reaches the leader, though the state service and its peers do.
 TEST(Copies, ALeaderThatNoWorkerReachesMakesWay) {
   World w(1, 6);
