--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -8,6 +8,11 @@
 
 namespace {
 
+// A node's share of the state service's limits. The leader makes nearly all changes; what the
+// others make, and what is refused now and then, fits into the rest.
+constexpr double kStoreRequests = 0.7;
+constexpr double kStoreChanges = 0.8;
+
 leader::ElectionTimes times_of(const config::Settings& s) {
   // A sixth of a worker's lease: a take-over leaves workers most of theirs. The grace leaves a
   // whole report interval as margin.
@@ -16,13 +21,12 @@
 
 }  // namespace
 
-// All controllers draw on the state service's limits; the leader does most of the work.
 Node::Node(net::Runtime& runtime, net::HttpCaller& http, rpc::PeerTransport& peers,
            const config::Settings& settings, const config::Operator& op)
     : settings_(settings),
       operator_(op),
-      state_(runtime, http, settings_.state, settings_.state_rps * 0.6,
-             settings_.state_write_rps * 0.6, ms(settings_.report_s / 3)),
+      state_(runtime, http, settings_.state, settings_.state_rps * kStoreRequests,
+             settings_.state_write_rps * kStoreChanges, ms(settings_.report_s / 3)),
       cloud_(runtime, http, settings_.cloud, settings_.cloud_rps * 0.7,
              ms(std::max(settings_.report_s, 8 / settings_.cloud_rps))),
       types_(runtime, cloud_, ms(settings_.lease_s * 2), ms(settings_.report_s / 2)),
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -155,7 +155,8 @@
 
   // Scheduling: planning.cc.
   void kick();
-  void run_pass();
+  // lateness: how long after it was due; a sign of how busy this process is.
+  void run_pass(net::Ms lateness);
   void draw(Machine& machine, const wire::MachineType& type);
   void draw_machines();
   void draw_teams();
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -22,7 +22,8 @@
 // A pass follows what calls for it at once, but for the last pass: what comes in between goes
 // together, into fewer records and messages. (A share of the report interval.)
 constexpr double kPassPause = 0.04;
-// After a pass the controller is free for its other work for so many times as long.
+// After a pass the controller is free for its other work for so many times as long as the pass took
+// and came late.
 constexpr Ms kPassRest = 4;
 // A gang's room is kept in one zone for so many of the longest boots.
 constexpr double kKeptBoots = 3;
@@ -48,10 +49,11 @@
   if (kicked_ || !loaded_) return;
   kicked_ = true;
   const std::uint64_t term = term_;
-  runtime_.after(std::max<Ms>(1, next_pass_ - runtime_.now()), [this, term] {
+  const Ms due = std::max(runtime_.now() + 1, next_pass_);
+  runtime_.after(due - runtime_.now(), [this, term, due] {
     if (term != term_) return;
     kicked_ = false;
-    run_pass();
+    run_pass(runtime_.now() - due);
   });
 }
 
@@ -267,7 +269,7 @@
   return longest;
 }
 
-void Controller::run_pass() {
+void Controller::run_pass(Ms lateness) {
   if (!ready() || !types_.known()) return;
   const Ms began = runtime_.now();
   picture_.choice = operator_.machine_choice == "first-fit" ? sched::MachineChoice::first_fit
@@ -306,10 +308,12 @@
     last_rental_ = now;
     plan();
   }
-  // A slow controller falls behind in freshness, and not in check-ins, renewals and answers.
+  // A slow controller falls behind in freshness, and not in check-ins, renewals and answers. What a
+  // pass starts is work for later, too: thousands of short tasks would end, be reported and be
+  // replaced until nothing else is done in time, the renewal of the lease included.
   const Ms after = runtime_.now();
-  next_pass_ =
-      after + std::max(kPassRest * (after - began), net::ms(kPassPause * settings_.report_s));
+  next_pass_ = after + std::max(kPassRest * (after - began + lateness),
+                                net::ms(kPassPause * settings_.report_s));
 }
 
 void Controller::touch(std::size_t slot) {
--- a/tests/standins/sim.h
+++ b/tests/standins/sim.h
@@ -58,13 +58,15 @@
   Ms now() const override { return time_.now(); }
   Ms wall() const override { return time_.wall(); }
   net::TimerId after(Ms delay, std::function<void()> then) override {
-    return time_.after(delay, [alive = alive_, then = std::move(then)] {
+    return time_.after(delay + lag, [alive = alive_, then = std::move(then)] {
       if (*alive) then();
     });
   }
   void cancel(net::TimerId id) override { time_.cancel(id); }
   std::shared_ptr<bool> alive() const { return alive_; }
 
+  Ms lag = 0;  // of a process with more to do than it can: every timer comes so late
+
  private:
   SimTime& time_;
   std::shared_ptr<bool> alive_;
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -69,6 +69,7 @@
     });
     slot->node.start();
   }
+  void slow_down(const std::string& name, Ms lag) { nodes_.at(name)->process.lag = lag; }
   void kill(const std::string& name) {
     net.silence(name + ":8080");
     nodes_[name].reset();
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -390,5 +390,31 @@
   w.expect_rules();
 }
 
+// A leader whose timers come late has more to do than it can: it starts less often what would come
+// back to it as reports and records, so that time is left for its lease.
+TEST(Trouble, ABusyLeaderPlacesLessOften) {
+  World w(1, 8);
+  ASSERT_TRUE(w.settle());
+  constexpr Ms kLag = 800, kApart = 300;
+  w.slow_down(w.leader(), kLag);
+  int bursts = 0;  // of starts, which a pass sends together
+  Ms last = 0;
+  w.net.set_rule([&](const std::string&, const net::Call& c) {
+    if (c.path != "/commands" || c.body.find("\"run\"") == std::string::npos) return Fate{};
+    if (w.time.now() - last > kApart) ++bursts;
+    last = w.time.now();
+    return Fate{};
+  });
+  const Ms begin = w.time.now();
+  for (int i = 0; i < 14; ++i) {
+    w.submit(w.follower(), array_job("wk-" + std::to_string(100 + i), 1, 60));
+    w.time.run_for(700);
+  }
+  w.time.run_for(5 * kLag);
+  EXPECT_EQ(w.starts(), 14);
+  EXPECT_LE(bursts, (w.time.now() - begin) / (5 * kLag) + 1);
+  w.expect_rules();
+}
+
 }  // namespace
 }  // namespace seampass::standins
