--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -69,7 +69,8 @@
 int main(int argc, char** argv) {
   CLI::App cli{"seampass, a gang scheduler for clusters"};
   cli.set_version_flag("--version", std::string("seampass ") + SEAMPASS_VERSION);
-  std::string config_file, operator_file;
+  std::string config_file;
+  std::string operator_file;
   bool check = false;
   cli.add_option("--config", config_file, "the platform's settings (TOML)")->required();
   cli.add_option("--operator", operator_file, "the operators' own settings (YAML)");
--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -1,6 +1,7 @@
 #include "app/node.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace seampass::app {
 
@@ -22,9 +23,9 @@
 }  // namespace
 
 Node::Node(net::Runtime& runtime, net::HttpCaller& http, rpc::PeerTransport& peers,
-           const config::Settings& settings, const config::Operator& op)
-    : settings_(settings),
-      operator_(op),
+           config::Settings settings, config::Operator op)
+    : settings_(std::move(settings)),
+      operator_(std::move(op)),
       state_(runtime, http, settings_.state, settings_.state_rps * kStoreRequests,
              settings_.state_write_rps * kStoreChanges, ms(settings_.report_s / 3)),
       cloud_(runtime, http, settings_.cloud, settings_.cloud_rps * 0.7,
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -17,7 +17,7 @@
 class Node {
  public:
   Node(net::Runtime& runtime, net::HttpCaller& http, rpc::PeerTransport& peers,
-       const config::Settings& settings, const config::Operator& op);
+       config::Settings settings, config::Operator op);
 
   void start();
   void handle(const net::Request& request, net::Answer answer) {
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -1,5 +1,6 @@
 #include "config/settings.h"
 
+#include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
 #include <cmath>
@@ -44,7 +45,7 @@
   Reader table(const char* name) const {
     const auto* t = table_[name].as_table();
     if (!t) fail(name, "must be a table");
-    return Reader(*t, file_, prefix_ + name + ".");
+    return {*t, file_, prefix_ + name + "."};
   }
   std::vector<Reader> tables(const char* name) const {
     std::vector<Reader> list;
@@ -153,14 +154,17 @@
   if (!root.IsMap()) throw BadSettings(path + ": must be a map of settings");
   for (const auto& entry : root) {
     const auto key = entry.first.as<std::string>();
+    const auto bad = [&](const char* why) {
+      return BadSettings(fmt::format("{}: {}: {}", path, key, why));
+    };
     const auto number = [&](double least) {
       double v = 0;
       try {
         v = entry.second.as<double>();
       } catch (const YAML::Exception&) {
-        throw BadSettings(path + ": " + key + ": must be a number");
+        throw bad("must be a number");
       }
-      if (!std::isfinite(v) || v < least) throw BadSettings(path + ": " + key + ": out of range");
+      if (!std::isfinite(v) || v < least) throw bad("out of range");
       return v;
     };
     if (key == "hold_timeout_s") {
@@ -172,9 +176,9 @@
     } else if (key == "machine_choice") {
       o.machine_choice = entry.second.IsScalar() ? entry.second.as<std::string>() : "";
       if (o.machine_choice != "scored" && o.machine_choice != "first-fit")
-        throw BadSettings(path + ": machine_choice: must be scored or first-fit");
+        throw bad("must be scored or first-fit");
     } else {
-      throw BadSettings(path + ": " + key + ": unknown setting");
+      throw bad("unknown setting");
     }
   }
   return o;
--- a/src/jobs/archive.h
+++ b/src/jobs/archive.h
@@ -26,7 +26,7 @@
   }
 
   void remember(const wire::JobStatus& s) {
-    if (cache_.count(s.id) != 0) return;
+    if (cache_.contains(s.id)) return;
     order_.push_front(s);
     cache_[s.id] = order_.begin();
     if (order_.size() <= most_) return;
--- a/src/jobs/desk.cc
+++ b/src/jobs/desk.cc
@@ -134,7 +134,7 @@
          });
 }
 
-void Desk::accept(const std::string& id, const Json& record, bool forward, Reply reply) {
+void Desk::accept(const std::string& id, const Json& record, bool forward, const Reply& reply) {
   const auto elsewhere = [this, id, forward, reply](const std::string& text) {
     if (!forward || election_.leading()) return reply({});
     ask_leader({0, id, false, text}, net::ms(settings_.report_s / 5), reply);
@@ -160,7 +160,7 @@
              });
 }
 
-void Desk::status(const std::string& id, Reply reply) {
+void Desk::status(const std::string& id, const Reply& reply) {
   rpc::Answer known;
   known.verdict = rpc::Verdict::known;
   if (const auto v = archive_.verdict(id)) {
--- a/src/jobs/desk.h
+++ b/src/jobs/desk.h
@@ -31,11 +31,11 @@
 
   void submit(const net::Request& request, const net::Answer& answer);
   // Writes the job, here or (where the store does not answer this node) through the leader.
-  void accept(const std::string& id, const wire::Json& record, bool forward, Reply reply);
+  void accept(const std::string& id, const wire::Json& record, bool forward, const Reply& reply);
   // Empty if the job could run; else why it never can.
   std::string impossible(const wire::Job& job) const;
   // What is known of a job: the cache, else the leader, else the store.
-  void status(const std::string& id, Reply reply);
+  void status(const std::string& id, const Reply& reply);
   void current(const std::string& id, const net::Answer& answer);
   void cancel(const std::string& id, const net::Answer& answer);
   void checkin(const net::Request& request, const net::Answer& answer);
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -22,7 +22,7 @@
   for (std::uint32_t i = from; i < to; i += 4) {
     unsigned v = 0;
     for (std::uint32_t k = 0; k < 4 && i + k < to; ++k)
-      if (bits[i + k]) v |= 1u << k;
+      if (bits[i + k]) v |= 1U << k;
     any = any || v != 0;
     out.push_back(digits[v]);
   }
@@ -101,7 +101,7 @@
 }
 
 void Controller::accepted(const std::string& id, const Json& record, state::Version version) {
-  if (!active_ || jobs_.count(id) != 0) return;
+  if (!active_ || jobs_.contains(id)) return;
   // News of an acceptance can be older than the job's end. (A verdict that has left this cache is
   // still found: the transaction that would assign its tasks compares ends/<id>.)
   if (archive_.verdict(id)) return;
@@ -130,7 +130,7 @@
   kick();
 }
 
-rpc::Answer Controller::status_of(const JobRecord& job) const {
+rpc::Answer Controller::status_of(const JobRecord& job) {
   rpc::Answer a;
   a.verdict = rpc::Verdict::known;
   a.status.id = job.spec.id;
@@ -175,7 +175,7 @@
     if (found != jobs::Archive::Found::open) return reply(a);
     // Accepted, and the news had not come yet.
     accepted(id, open.value, open.version);
-    if (jobs_.count(id) == 0) return reply({});
+    if (!jobs_.contains(id)) return reply({});
     ask(id, cancel, reply);
   });
 }
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -115,13 +115,13 @@
 
   // Jobs.
   void accepted(const std::string& id, const wire::Json& record, state::Version version);
-  void finish_task(JobRecord& job, std::uint32_t task);
+  static void finish_task(JobRecord& job, std::uint32_t task);
   void maybe_done(JobRecord& job);
   void call_off(JobRecord& job);
   void conclude(JobRecord& job);
   void verdict(const std::string& id, wire::Stage stage);
   void tidy(const std::string& id);
-  rpc::Answer status_of(const JobRecord& job) const;
+  static rpc::Answer status_of(const JobRecord& job);
   std::optional<wire::Json> render(const std::string& id, std::uint32_t chunk) const;
 
   // Charges: reports.cc.
@@ -148,7 +148,7 @@
   void release_missing(const std::vector<Charge*>& missing);
   bool may_forget(const Machine& machine, const wire::TaskReport& task) const;
   std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
-  void send(Machine& machine, std::vector<wire::Command> commands);
+  void send(Machine& machine, const std::vector<wire::Command>& commands);
   void unanswered(Machine& machine);
   void starts_durable(const std::string& id,
                       const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks);
--- a/src/leader/fleet.cc
+++ b/src/leader/fleet.cc
@@ -130,7 +130,9 @@
   const Ms now = runtime_.now();
   const Ms lease = net::ms(settings_.lease_s);
   // unheard: up by the list, for long enough to have reported.
-  std::map<std::string, int> silent, up, unheard;
+  std::map<std::string, int> silent;
+  std::map<std::string, int> up;
+  std::map<std::string, int> unheard;
   const auto is_silent = [&](const Machine& m) {
     // Silence is counted from when workers could know of this leader.
     return now - std::max(m.heard, began_) > lease * 3 / 5;
@@ -175,7 +177,7 @@
       if (alone || now - std::max(m.heard, began_) > lease + lease / 50) doomed.push_back(&m);
       continue;
     }
-    if (m.charges.empty() && m.strangers == 0 && kept.count(name) == 0) {
+    if (m.charges.empty() && m.strangers == 0 && !kept.contains(name)) {
       const double boot = type ? type->boot_s : settings_.lease_s;
       if (m.draining || m.taken_at || now - m.idle_since > net::ms(operator_.idle_return * boot))
         doomed.push_back(&m);
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -78,7 +78,7 @@
   Machine& ensure(const std::string& name);
   std::map<std::string, Machine>& machines() { return machines_; }
   const std::map<std::string, Machine>& machines() const { return machines_; }
-  bool deleted(const std::string& name) const { return deleted_.count(name) != 0; }
+  bool deleted(const std::string& name) const { return deleted_.contains(name); }
 
   // Returns machines to the cloud; `gone` follows once it has confirmed.
   void remove(Machine& machine);
--- a/src/leader/ledger.cc
+++ b/src/leader/ledger.cc
@@ -10,7 +10,7 @@
 using state::Urgency;
 
 namespace {
-constexpr std::size_t kTxnBytes = 56u << 10;  // of the service's 64 KiB
+constexpr std::size_t kTxnBytes = 56U << 10;  // of the service's 64 KiB
 constexpr net::Ms kRetry = 200;
 }  // namespace
 
@@ -208,10 +208,10 @@
   const std::uint64_t term = term_;
   if (verdict) {
     state_.get(ends_key(job), [this, term, job, chunks](const state::GetResult& g) {
-      if (term != term_ || jobs_.count(job) == 0) return;
+      if (term != term_ || !jobs_.contains(job)) return;
       if (g.outcome != Outcome::ok && g.outcome != Outcome::missing) {
         runtime_.after(kRetry, [this, term, job, chunks] {
-          if (term == term_ && jobs_.count(job) != 0) read_back(job, chunks, true);
+          if (term == term_ && jobs_.contains(job)) read_back(job, chunks, true);
         });
         return;
       }
@@ -233,7 +233,7 @@
           ended(stage);
         else
           hooks_.ended(job, stage);
-        if (term != term_ || jobs_.count(job) == 0) return;
+        if (term != term_ || !jobs_.contains(job)) return;
       }
       read_back(job, chunks, false);
     });
@@ -245,7 +245,7 @@
   }
   const std::uint32_t chunk = chunks.back();
   state_.get(work_key(job, chunk), [this, term, job, chunks, chunk](const state::GetResult& g) {
-    if (term != term_ || jobs_.count(job) == 0) return;
+    if (term != term_ || !jobs_.contains(job)) return;
     auto rest = chunks;
     if (g.outcome == Outcome::ok || g.outcome == Outcome::missing) {
       jobs_.at(job).records[chunk].version = g.outcome == Outcome::ok ? g.item.version : 0;
@@ -253,7 +253,7 @@
       return read_back(job, rest, false);
     }
     runtime_.after(kRetry, [this, term, job, rest] {
-      if (term == term_ && jobs_.count(job) != 0) read_back(job, rest, false);
+      if (term == term_ && jobs_.contains(job)) read_back(job, rest, false);
     });
   });
 }
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -107,7 +107,7 @@
                 (m.met < 0 ? now - m.since < net::ms(2 * type->boot_s)
                            : now - m.met < net::ms(settings_.report_s));
     v.claimed_by.clear();
-    if (now < m.claimed_until && jobs_.count(m.claimed_by) != 0) v.claimed_by = m.claimed_by;
+    if (now < m.claimed_until && jobs_.contains(m.claimed_by)) v.claimed_by = m.claimed_by;
   }
   picture_.asked.clear();
   for (const auto& [request, asked] : fleet_.asked()) {
@@ -196,8 +196,8 @@
     v.spot = job->spec.spot;
     v.image = job->spec.image;
     v.patience_s = patience_s(*job);
-    v.urgent = arrivals_.count(job->spec.klass) != 0;
-    v.guaranteed = guaranteed.count(job.get()) != 0;
+    v.urgent = arrivals_.contains(job->spec.klass);
+    v.guaranteed = guaranteed.contains(job.get());
     v.turn = v.guaranteed ? 0 : 1;
     v.tasks = job->spec.tasks;
     for (const auto& [task, c] : job->charges) ++v.placed[c.machine->zone];
@@ -242,11 +242,11 @@
     sched::JobView& v = picture_.jobs[j];
     if (!job.gang() || !v.one_zone || !job.whole_only || v.blocked) continue;
     const bool late = now - job.kept_since > net::ms(kKeptBoots * longest_boot_s());
-    if (job.kept_zone.empty() || late || taken.count(job.kept_zone) != 0) {
+    if (job.kept_zone.empty() || late || taken.contains(job.kept_zone)) {
       std::map<std::string, std::uint32_t>
           hosts;  // machines that could take a task, were they empty
       for (const sched::MachineView& m : picture_.machines)
-        if ((m.open || m.booting) && taken.count(m.zone) == 0 &&
+        if ((m.open || m.booting) && !taken.contains(m.zone) &&
             sched::allowed(v, m.type, m.zone, m.spot) && sched::capacity(v.need, m.total) > 0)
           ++hosts[m.zone];
       if (late) hosts.erase(job.kept_zone);
@@ -328,7 +328,8 @@
 // half as long as a new machine would take.
 double Controller::patience_s(const JobRecord& job) const {
   const wire::Job& spec = job.spec;
-  double boot = 0, fetch = 0;
+  double boot = 0;
+  double fetch = 0;
   for (const auto& [name, t] : types_.types()) {
     if (!sched::hosts(t, spec)) continue;
     boot = std::max(boot, t.boot_s);
@@ -361,7 +362,8 @@
   for (const auto& [klass, a] : arrivals_) {
     if (a.recent.empty()) continue;
     const wire::Job& spec = a.latest;
-    double boot = 0, cheapest = std::numeric_limits<double>::infinity();
+    double boot = 0;
+    double cheapest = std::numeric_limits<double>::infinity();
     for (const auto& [name, t] : types_.types()) {
       if (!sched::hosts(t, spec)) continue;
       boot = std::max(boot, t.boot_s);
@@ -370,7 +372,8 @@
     // A class whose aim leaves time to boot needs no spare.
     if (boot <= 0 || a.within_s > 2 * boot) continue;
     const Ms window = std::min(now - a.recent.front().first, net::ms(kArrivalWindow * boot));
-    double tasks = 0, squares = 0;
+    double tasks = 0;
+    double squares = 0;
     for (const auto& [when, n] : a.recent)
       if (now - when <= window) {
         tasks += n;
@@ -468,7 +471,7 @@
   for (const std::size_t i :
        sched::emptied(picture_, settings_.report_s / 3, kEmptiedWorth, most)) {
     Machine* m = fleet_.find(picture_.machines[i].name);
-    if (!m || kept_.count(m->name) != 0) continue;
+    if (!m || kept_.contains(m->name)) continue;
     m->draining = true;
     spdlog::debug("emptying {} of {} tasks", m->name, m->charges.size());
     for (const auto& [key, c] : m->charges) {
@@ -516,7 +519,8 @@
   const Ms now = runtime_.now();
   const bool in_time = now - ticked_ < net::ms(settings_.report_s);
   ticked_ = now;
-  std::size_t due = 0, silent = 0;
+  std::size_t due = 0;
+  std::size_t silent = 0;
   for (const auto& [name, m] : fleet_.machines()) {
     // (Those that never heard this leader may all be dead, with copies of their reports on the
     // way: making way for that would go round for ever.)
@@ -524,7 +528,8 @@
     ++due;
     silent += now - m.heard > net::ms(kMuteReports * settings_.report_s) ? 1 : 0;
   }
-  mute_ticks_ = in_time && due >= kMuteLeast && silent >= due * kMuteShare ? mute_ticks_ + 1 : 0;
+  const bool most_silent = static_cast<double>(silent) >= kMuteShare * static_cast<double>(due);
+  mute_ticks_ = in_time && due >= kMuteLeast && most_silent ? mute_ticks_ + 1 : 0;
   return mute_ticks_ >= 2;
 }
 
--- a/src/leader/recovery.cc
+++ b/src/leader/recovery.cc
@@ -96,7 +96,7 @@
     }
     for (const Json& t : v.at("tasks")) {
       const auto task = t.at(0).get<std::uint32_t>();
-      if (task >= job.spec.tasks || job.charges.count(task) != 0) continue;
+      if (task >= job.spec.tasks || job.charges.contains(task)) continue;
       Charge& c = charge(job, task, t.at(1).get<std::uint64_t>(),
                          fleet_.ensure(t.at(2).get<std::string>()), t.at(3).get<std::uint64_t>());
       c.durable = c.sent = true;
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -113,7 +113,7 @@
   for (Charge* c : charges)
     by_machine[c->machine].push_back(
         {Verb::stop, c->job->spec.id, c->task, c->attempt, c->grace_s});
-  for (auto& [machine, commands] : by_machine) send(*machine, std::move(commands));
+  for (const auto& [machine, commands] : by_machine) send(*machine, commands);
 }
 
 void Controller::machine_gone(Machine& machine) {
@@ -214,7 +214,7 @@
       // it is started nowhere else; in any case the machine takes nothing until it is settled.
       const auto j = jobs_.find(t.job);
       if (j != jobs_.end() && t.index < j->second->spec.tasks &&
-          j->second->charges.count(t.index) == 0) {
+          !j->second->charges.contains(t.index)) {
         JobRecord& job = *j->second;
         c = &charge(job, t.index, t.attempt, m, m.session);
         c->durable = c->sent = true;
@@ -240,7 +240,7 @@
   }
   bool any_missing = false;
   for (const auto& [key, c] : m.charges) {
-    if (present.count(key) != 0) continue;
+    if (present.contains(key)) continue;
     // Its session is over, or the machine has begun anew with fewer; or it was there, and a
     // check-in lacks it.
     c->missing = c->missing || c->session != m.session || (checkin && c->seen);
@@ -338,7 +338,7 @@
 // another runs elsewhere, and any of a cancelled job. (One that is done would only say so again,
 // but its job may be cancelled yet.)
 bool Controller::may_forget(const Machine& m, const wire::TaskReport& t) const {
-  if (m.started.count({t.job, t.index, t.attempt}) == 0) return true;
+  if (!m.started.contains({t.job, t.index, t.attempt})) return true;
   if (t.cause != ExitCause::done) return false;
   const auto j = jobs_.find(t.job);
   if (j != jobs_.end() && !j->second->ended) return false;
@@ -407,7 +407,7 @@
       break;
   }
   const std::string id = job.spec.id;
-  if (m.started.count({id, c.task, c.attempt}) != 0) job.leftovers.insert({c.task, m.name});
+  if (m.started.contains({id, c.task, c.attempt})) job.leftovers.insert({c.task, m.name});
   release(c);
   const auto it = jobs_.find(id);
   if (gang && it != jobs_.end()) lost_attempt(*it->second);
@@ -441,7 +441,7 @@
   }
   if (!election_.holds()) return orders;
   for (const auto& [key, c] : m.charges) {
-    if (present.count(key) != 0 || !c->durable || c->in_flight > 0 || c->seen) continue;
+    if (present.contains(key) || !c->durable || c->in_flight > 0 || c->seen) continue;
     if (c->session != m.session) continue;
     if (c->stop) {
       c->start_sent_at = runtime_.now();
@@ -460,7 +460,7 @@
   return orders;
 }
 
-void Controller::send(Machine& m, std::vector<wire::Command> commands) {
+void Controller::send(Machine& m, const std::vector<wire::Command>& commands) {
   if (m.addr.empty() || !m.up) return;  // the next check-in carries them
   std::vector<AttemptName> starts;
   for (const wire::Command& cmd : commands)
@@ -474,8 +474,8 @@
   if (!starts.empty()) m.obeyed = runtime_.now();
   workers_.send(
       m.addr, election_.warrant(), session, commands,
-      [this, term, name, session, starts](workers::Sent sent,
-                                          const std::optional<wire::WorkerReport>& report) {
+      [this, term, name, starts](workers::Sent sent,
+                                 const std::optional<wire::WorkerReport>& report) {
         if (term != term_) return;
         for (const auto& [id, task, attempt] : starts) {
           Charge* c = find_charge(id, task);
@@ -541,11 +541,11 @@
     // now no longer has it, so it may be forgotten.
     for (auto e = c.machine->exited.lower_bound({id, task, 0});
          e != c.machine->exited.end() && std::get<0>(*e) == id && std::get<1>(*e) == task; ++e)
-      if (c.machine->started.count(*e) == 0)
+      if (!c.machine->started.contains(*e))
         commands.push_back({Verb::forget, id, task, std::get<2>(*e), 0});
     commands.push_back({Verb::start, id, task, attempt, 0});
   }
-  for (auto& [machine, commands] : by_machine) send(*machine, std::move(commands));
+  for (const auto& [machine, commands] : by_machine) send(*machine, commands);
   const bool gang = j->second->gang();
   for (Charge* c : off) release(*c);
   const auto again = jobs_.find(id);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -8,7 +8,7 @@
 namespace seampass::net {
 
 namespace {
-constexpr std::size_t kMaxResponse = 8u << 20;  // no honest answer is near this
+constexpr std::size_t kMaxResponse = 8U << 20;  // no honest answer is near this
 }
 
 struct HttpClient::Conn {
@@ -44,7 +44,7 @@
     }
   }
 
-  void finish(Reply reply) {
+  void finish(const Reply& reply) {
     if (timer != 0) owner->loop_.cancel(timer);
     timer = 0;
     const ReplyFn f = std::move(done);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -4,6 +4,7 @@
 
 #include <climits>
 #include <stdexcept>
+#include <utility>
 
 namespace seampass::net {
 
@@ -88,7 +89,7 @@
       if (used < n) c->left.assign(data + used, n - used);
       c->in_request = false;
       c->lasting = c->request.path == server->limits_.lasting_path;
-      server->handler_(c->request, [server, id](Response r) { server->answer(id, std::move(r)); });
+      server->handler_(c->request, [server, id](const Response& r) { server->answer(id, r); });
       return;
     }
     if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
@@ -101,8 +102,11 @@
 };
 
 HttpServer::HttpServer(Loop& loop, ServerLimits limits, Handler handler)
-    : loop_(loop), limits_(limits), handler_(std::move(handler)), listener_(new uv_tcp_t) {
-  http_parser_set_max_header_size(16u << 10);
+    : loop_(loop),
+      limits_(std::move(limits)),
+      handler_(std::move(handler)),
+      listener_(new uv_tcp_t) {
+  http_parser_set_max_header_size(16U << 10);
   uv_tcp_init(loop_.raw(), listener_);
   listener_->data = this;
   loop_.after(limits_.slow / 2, [this] { sweep(); });
@@ -185,7 +189,7 @@
   return conns_.size() > most - most / (r.may_close ? 8 : 16);
 }
 
-void HttpServer::answer(std::uint64_t id, Response r) {
+void HttpServer::answer(std::uint64_t id, const Response& r) {
   const auto it = conns_.find(id);
   if (it == conns_.end()) return;
   Conn* c = it->second;
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -29,7 +29,7 @@
 using Answer = std::function<void(Response)>;
 using Handler = std::function<void(const Request&, Answer)>;
 
-inline constexpr std::size_t kMaxBody = 64u << 10;
+inline constexpr std::size_t kMaxBody = 64U << 10;
 
 struct ServerLimits {
   std::size_t max_connections = 1000;
@@ -53,7 +53,7 @@
   friend struct ServerParser;
   void accept();
   void sweep();
-  void answer(std::uint64_t conn, Response response);
+  void answer(std::uint64_t id, const Response& r);
 
   // Connections without a request on its way, longest idle first. A fresh one has not asked yet.
   enum Idle { user, lasting, fresh, busy };
@@ -70,7 +70,7 @@
   std::unordered_map<std::uint64_t, Conn*> conns_;
   std::array<std::list<Conn*>, 3> idle_;
   // Bytes are consumed before the next read, so that all connections share one buffer.
-  std::array<char, 32u << 10> buffer_;
+  std::array<char, 32U << 10> buffer_;
 };
 
 }  // namespace seampass::net
--- a/src/rpc/peer_link.cc
+++ b/src/rpc/peer_link.cc
@@ -11,8 +11,8 @@
 namespace seampass::rpc {
 namespace {
 
-constexpr std::size_t kMaxFrame = 256u << 10;  // a record is below a request body's 64 KiB
-constexpr std::size_t kMaxQueued = 1u << 20;
+constexpr std::size_t kMaxFrame = 256U << 10;  // a record is below a request body's 64 KiB
+constexpr std::size_t kMaxQueued = 1U << 20;
 constexpr std::size_t kMaxIncoming = 64;
 constexpr net::Ms kRedial = 250;
 
@@ -64,7 +64,7 @@
   }
   const auto words = capnp::messageToFlatArray(builder);
   const auto bytes = words.asBytes();
-  return std::string(reinterpret_cast<const char*>(bytes.begin()), bytes.size());
+  return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
 Message decode(const char* bytes, std::size_t size) {
@@ -172,7 +172,7 @@
       const char* payload = data.data() + at + 4;
       if (node.empty()) {
         node.assign(payload, size);
-        if (owner->peers_.count(node) == 0) return close();
+        if (!owner->peers_.contains(node)) return close();
       } else {
         try {
           const Message m = decode(payload, size);
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -70,7 +70,7 @@
     const MachineView& m = p_.machines[i];
     if (p_.choice == MachineChoice::first_fit) return {false, false, 0, false, 0, 0, i};
     const bool wasted = job.need.gpus == 0 && m.total.gpus > 0;
-    const bool cached = m.images.count(job.image) != 0;
+    const bool cached = m.images.contains(job.image);
     const bool hurry = job.urgent || job.guaranteed;
     return {wasted, hurry && !cached, m.price, !cached, m.free.gpus, m.free.cpus, i};
   }
@@ -124,7 +124,7 @@
       result.push_back({job.pending[result.size()], machine});
       return true;
     }
-    const auto may = [&](std::uint32_t t, std::size_t m) { return job.avoid.count({t, m}) == 0; };
+    const auto may = [&](std::uint32_t t, std::size_t m) { return !job.avoid.contains({t, m}); };
     std::vector<std::uint32_t> rest;
     for (const std::uint32_t t : job.pending) {
       if (std::any_of(result.begin(), result.end(),
@@ -172,7 +172,7 @@
     if (placed.empty()) return;
     std::set<std::uint32_t> gone;
     for (const Placement& x : placed) gone.insert(x.task);
-    std::erase_if(job.pending, [&](std::uint32_t t) { return gone.count(t) != 0; });
+    std::erase_if(job.pending, [&](std::uint32_t t) { return gone.contains(t); });
     out_.starts.push_back({j, std::move(placed)});
   }
 
@@ -200,7 +200,7 @@
       double cost = 0;
       for (const Placement& x : tried) {
         const MachineView& m = p_.machines[x.machine];
-        cost += m.price * (m.images.count(job.image) != 0 ? 1 : 2);
+        cost += m.price * (m.images.contains(job.image) ? 1 : 2);
       }
       undo(job, tried);
       if (tried.size() > best.size() || (tried.size() == best.size() && cost < best_cost)) {
@@ -272,7 +272,7 @@
         if (o.fits < most && job.need.fits_in(left)) ++o.fits;
         if (o.tasks.empty() || o.fits == 0) continue;
         // A fetch takes longer than stopping some tasks more.
-        o.cost = o.tasks.size() + (m.images.count(job.image) == 0 ? 1000 : 0);
+        o.cost = o.tasks.size() + (!m.images.contains(job.image) ? 1000 : 0);
         room[m.zone] += o.fits;
         options.push_back(std::move(o));
       }
@@ -311,7 +311,8 @@
   std::vector<std::size_t> order(jobs.size());
   for (std::size_t i = 0; i < order.size(); ++i) order[i] = i;
   std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-    const JobView &x = jobs[a], &y = jobs[b];
+    const JobView& x = jobs[a];
+    const JobView& y = jobs[b];
     return std::tie(x.priority, x.turn, x.created_ms, x.id) <
            std::tie(y.priority, y.turn, y.created_ms, y.id);
   });
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -150,7 +150,7 @@
       const MachineView& m = *r.m;
       if (m.price > dearest || !allowed(job, m.type, m.zone, m.spot)) continue;
       while (left > 0 && job.need.fits_in(r.free) && zone_ok(m.zone)) {
-        if (spare && m.open && plan_.keep.count(r.index) == 0) {
+        if (spare && m.open && !plan_.keep.contains(r.index)) {
           const bool idle = r.free.cpus >= m.total.cpus && r.free.gpus >= m.total.gpus;
           if (idle && m.price > budget) break;
           if (idle) budget -= m.price;
@@ -232,7 +232,7 @@
   for (std::size_t at = 0; at < order.size() && result.size() < most; ++at) {
     const std::size_t i = order[at];
     const MachineView& m = p.machines[i];
-    if (m.victims.size() != m.tasks || free.count(i) != 0) continue;
+    if (m.victims.size() != m.tasks || free.contains(i)) continue;
     std::map<std::size_t, Need> taken;
     bool all = true;
     for (const Victim& v : m.victims) {
@@ -244,7 +244,7 @@
         const std::size_t to = order[k];
         const MachineView& other = p.machines[to];
         if (other.type != m.type) continue;
-        if ((other.spot && !v.spot) || other.images.count(v.image) == 0) continue;
+        if ((other.spot && !v.spot) || !other.images.contains(v.image)) continue;
         const auto before = taken.find(to);
         const Need left = before == taken.end() ? room(to) : before->second;
         if (!v.need.fits_in(left)) continue;
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -89,7 +89,8 @@
 }
 
 void Client::txn(Txn txn, Urgency urgency, std::function<void(TxnResult)> done) {
-  Json conditions = Json::array(), changes = Json::array();
+  Json conditions = Json::array();
+  Json changes = Json::array();
   for (const Condition& c : txn.conditions)
     conditions.push_back({{"path", c.key}, {"stamp", c.version}});
   for (Change& c : txn.changes) {
@@ -101,7 +102,7 @@
   Json body{{"if", std::move(conditions)}, {"apply", std::move(changes)}};
   submit(urgency, Call{endpoint_, "POST", "/txn", body.dump(), timeout_}, writes,
          [done = std::move(done)](const Reply& r) {
-           TxnResult result = parsed<TxnResult>(r, [](TxnResult& t, const Json& o) {
+           auto result = parsed<TxnResult>(r, [](TxnResult& t, const Json& o) {
              t.revision = wire::count_field(o, "ledger_rev");
              if (t.outcome != Outcome::conflict) return;
              for (const Json& k : o.at("failed")) t.failed.push_back(k.get<std::string>());
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -90,7 +90,8 @@
   Client(net::Runtime& runtime, net::HttpCaller& http, std::string endpoint, double rps,
          double write_rps, net::Ms timeout);
 
-  void get(const std::string& key, std::function<void(GetResult)> done, Urgency = Urgency::verdict);
+  void get(const std::string& key, std::function<void(GetResult)> done,
+           Urgency urgency = Urgency::verdict);
   void list(const std::string& prefix, const std::string& after,
             std::function<void(ListResult)> done);
   void txn(Txn txn, Urgency urgency, std::function<void(TxnResult)> done);
