--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -32,7 +32,7 @@
              ms(std::max(settings_.report_s, 8 / settings_.cloud_rps))),
       types_(runtime, cloud_, ms(settings_.lease_s * 2), ms(settings_.report_s / 2)),
       // A few hundred bytes a verdict: an eighth of the memory at most.
-      archive_(state_, static_cast<std::size_t>(settings_.memory_mb / 8 * 1024 * 1024 / 512)),
+      status_reader_(state_, static_cast<std::size_t>(settings_.memory_mb / 8 * 1024 * 1024 / 512)),
       election_(
           runtime, state_, settings_.node, times_of(settings_), [this] { controller_.begin(); },
           [this] { controller_.stop(); }, settings_.peers.size(),
@@ -43,8 +43,8 @@
       controller_(runtime, state_, cloud_, types_,
                   workers::Client(http, ms(settings_.report_s / 3),
                                   static_cast<std::size_t>(settings_.fd_limit) / 16),
-                  election_, archive_, settings_, operator_),
-      desk_(runtime, state_, types_, election_, controller_, archive_, peers, settings_) {}
+                  election_, status_reader_, settings_, operator_),
+      api_(runtime, state_, types_, election_, controller_, status_reader_, peers, settings_) {}
 
 void Node::start() {
   types_.start();
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "cloud/client.h"
-#include "cloud/type_book.h"
+#include "cloud/machine_catalog.h"
 #include "config/settings.h"
-#include "jobs/archive.h"
-#include "jobs/desk.h"
+#include "jobs/api_handler.h"
+#include "jobs/job_status_reader.h"
 #include "leader/controller.h"
 #include "leader/election.h"
 #include "net/runtime.h"
@@ -21,7 +21,7 @@
 
   void start();
   void handle(const net::Request& request, net::Answer answer) {
-    desk_.handle(request, std::move(answer));
+    api_.handle(request, std::move(answer));
   }
   const leader::Election& election() const { return election_; }
 
@@ -30,11 +30,11 @@
   config::Operator operator_;
   state::Client state_;
   cloud::Client cloud_;
-  cloud::TypeBook types_;
-  jobs::Archive archive_;
+  cloud::MachineCatalog types_;
+  jobs::JobStatusReader status_reader_;
   leader::Election election_;
   leader::Controller controller_;
-  jobs::Desk desk_;
+  jobs::ApiHandler api_;
 };
 
 }  // namespace seampass::app
--- a/src/cloud/type_book.h
+++ b/src/cloud/machine_catalog.h
@@ -8,10 +8,10 @@
 
 namespace seampass::cloud {
 
-class TypeBook {
+class MachineCatalog {
  public:
   // refresh: between two good answers (spot prices move); retry: after a bad one.
-  TypeBook(net::Runtime& runtime, Client& cloud, net::Ms refresh, net::Ms retry)
+  MachineCatalog(net::Runtime& runtime, Client& cloud, net::Ms refresh, net::Ms retry)
       : runtime_(runtime), cloud_(cloud), refresh_(refresh), retry_(retry) {}
 
   void start() {
--- a/src/jobs/desk.cc
+++ b/src/jobs/api_handler.cc
@@ -1,4 +1,4 @@
-#include "jobs/desk.h"
+#include "jobs/api_handler.h"
 
 #include <spdlog/spdlog.h>
 
@@ -6,7 +6,7 @@
 #include <random>
 #include <set>
 
-#include "sched/picture.h"
+#include "sched/snapshot.h"
 
 namespace seampass::jobs {
 
@@ -31,26 +31,27 @@
 
 }  // namespace
 
-Desk::Desk(net::Runtime& runtime, state::Client& state, const cloud::TypeBook& types,
-           leader::Election& election, leader::Controller& controller, Archive& archive,
-           rpc::PeerTransport& peers, const config::Settings& settings)
+ApiHandler::ApiHandler(net::Runtime& runtime, state::Client& state,
+                       const cloud::MachineCatalog& types, leader::Election& election,
+                       leader::Controller& controller, JobStatusReader& status_reader,
+                       rpc::PeerTransport& peers, const config::Settings& settings)
     : runtime_(runtime),
       state_(state),
       types_(types),
       election_(election),
       controller_(controller),
-      archive_(archive),
+      status_reader_(status_reader),
       peers_(peers),
       settings_(settings) {
   peers_.on_receive([this](const std::string& from, const rpc::Message& m) { receive(from, m); });
 }
 
-std::uint64_t Desk::first_ask() {
+std::uint64_t ApiHandler::first_ask() {
   std::random_device device;
   return std::uniform_int_distribution<std::uint64_t>(1, std::uint64_t{1} << 62)(device);
 }
 
-void Desk::handle(const net::Request& request, Answer answer) {
+void ApiHandler::handle(const net::Request& request, Answer answer) {
   std::string_view path = request.path;
   path = path.substr(0, path.find('?'));
   const auto want = [&](const char* method) {
@@ -83,7 +84,7 @@
   answer(refusal(404, "no such path"));
 }
 
-std::string Desk::impossible(const wire::Job& job) const {
+std::string ApiHandler::impossible(const wire::Job& job) const {
   const config::Team* team = settings_.team(job.team);
   if (!team) return "unknown team";
   std::set<std::string> zones;  // where a task fits an allowed type
@@ -104,7 +105,7 @@
   return {};
 }
 
-void Desk::submit(const net::Request& request, const Answer& answer) {
+void ApiHandler::submit(const net::Request& request, const Answer& answer) {
   wire::Job job;
   try {
     job = wire::job_from(wire::parse_object(request.body));
@@ -112,15 +113,16 @@
     return answer(refusal(400, e.what()));
   }
   const std::string id = job.id;
-  if (const auto v = archive_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
+  if (const auto v = status_reader_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
   if (!types_.known()) return answer(later("machine types not known yet"));
   const std::string why = impossible(job);
   if (!why.empty()) {
     // A job that was accepted once stays so, whatever the settings or types say by now.
-    return archive_.read(
-        id, [answer, why](Archive::Found found, const wire::JobStatus& status, const state::Item&) {
-          if (found == Archive::Found::cannot) return answer(later("state not available"));
-          if (found == Archive::Found::none) return answer(refusal(422, why));
+    return status_reader_.read(
+        id, [answer, why](JobStatusReader::Found found, const wire::JobStatus& status,
+                          const state::Item&) {
+          if (found == JobStatusReader::Found::cannot) return answer(later("state not available"));
+          if (found == JobStatusReader::Found::none) return answer(refusal(422, why));
           answer({200, wire::accepted_json(status), 0});
         });
   }
@@ -134,7 +136,8 @@
          });
 }
 
-void Desk::accept(const std::string& id, const Json& record, bool forward, const Reply& reply) {
+void ApiHandler::accept(const std::string& id, const Json& record, bool forward,
+                        const Reply& reply) {
   const auto elsewhere = [this, id, forward, reply](const std::string& text) {
     if (!forward || election_.leading()) return reply({});
     ask_leader({0, id, false, text}, net::ms(settings_.report_s / 5), reply);
@@ -154,33 +157,36 @@
                a.fresh = true;
                reply(a);
                if (election_.leading())
-                 controller_.heard_of(id, record, t.revision);
+                 controller_.on_accepted(id, record, t.revision);
                else if (!election_.leader().empty())
                  peers_.send(election_.leader(), rpc::Accepted{id, record.dump(), t.revision});
              });
 }
 
-void Desk::status(const std::string& id, const Reply& reply) {
+void ApiHandler::status(const std::string& id, const Reply& reply) {
   rpc::Answer known;
   known.verdict = rpc::Verdict::known;
-  if (const auto v = archive_.verdict(id)) {
+  if (const auto v = status_reader_.verdict(id)) {
     known.status = *v;
     return reply(known);
   }
   ask_leader({0, id, false, ""}, net::ms(settings_.report_s / 5),
              [this, id, known, reply](const rpc::Answer& a) {
                if (a.verdict != rpc::Verdict::cannot) return reply(a);
-               archive_.read(id, [known, reply](Archive::Found found, const wire::JobStatus& s,
-                                                const state::Item&) mutable {
-                 known.status = s;
-                 if (found == Archive::Found::none) known.verdict = rpc::Verdict::unknown;
-                 if (found == Archive::Found::cannot) known.verdict = rpc::Verdict::cannot;
-                 reply(known);
-               });
+               status_reader_.read(
+                   id, [known, reply](JobStatusReader::Found found, const wire::JobStatus& s,
+                                      const state::Item&) mutable {
+                     known.status = s;
+                     if (found == JobStatusReader::Found::none)
+                       known.verdict = rpc::Verdict::unknown;
+                     if (found == JobStatusReader::Found::cannot)
+                       known.verdict = rpc::Verdict::cannot;
+                     reply(known);
+                   });
              });
 }
 
-void Desk::current(const std::string& id, const Answer& answer) {
+void ApiHandler::current(const std::string& id, const Answer& answer) {
   status(id, [answer](const rpc::Answer& a) {
     if (a.verdict == rpc::Verdict::cannot) return answer(later("state not available"));
     if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
@@ -188,8 +194,8 @@
   });
 }
 
-void Desk::cancel(const std::string& id, const Answer& answer) {
-  if (const auto v = archive_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
+void ApiHandler::cancel(const std::string& id, const Answer& answer) {
+  if (const auto v = status_reader_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
   // Only the leader ends jobs, so that none of its answers can be older than the verdict.
   ask_leader({0, id, true, ""}, net::ms(settings_.report_s), [answer](const rpc::Answer& a) {
     if (a.verdict == rpc::Verdict::cannot) return answer(later("no leader can answer"));
@@ -200,7 +206,7 @@
   });
 }
 
-void Desk::checkin(const net::Request& request, const Answer& answer) {
+void ApiHandler::checkin(const net::Request& request, const Answer& answer) {
   election_.worker_came();
   if (!election_.leading()) return answer({421, wire::redirect_answer(election_.leader()), 0});
   try {
@@ -212,7 +218,7 @@
   }
 }
 
-void Desk::ask_leader(rpc::Ask ask, Ms timeout, Reply reply) {
+void ApiHandler::ask_leader(rpc::Ask ask, Ms timeout, Reply reply) {
   if (election_.leading()) return controller_.ask(ask.id, ask.cancel, std::move(reply));
   const std::string node = election_.leader();
   if (node.empty() || asks_.size() >= kMaxAsks) return reply({});
@@ -232,11 +238,11 @@
   peers_.send(node, ask);
 }
 
-void Desk::receive(const std::string& from, const rpc::Message& message) {
+void ApiHandler::receive(const std::string& from, const rpc::Message& message) {
   if (const auto* accepted = std::get_if<rpc::Accepted>(&message)) {
     if (!election_.leading()) return;
     const Json record = Json::parse(accepted->record, nullptr, false);
-    if (!record.is_discarded()) controller_.heard_of(accepted->id, record, accepted->version);
+    if (!record.is_discarded()) controller_.on_accepted(accepted->id, record, accepted->version);
   } else if (const auto* ask = std::get_if<rpc::Ask>(&message)) {
     const std::uint64_t number = ask->number;
     const auto reply = [this, from, number](rpc::Answer a) {
@@ -266,7 +272,7 @@
     a.status.id = w.id;
     if (a.verdict == rpc::Verdict::known &&
         (a.status.stage == wire::Stage::done || a.status.stage == wire::Stage::cancelled))
-      archive_.remember(a.status);
+      status_reader_.remember(a.status);
     w.reply(a);
   }
 }
--- a/src/jobs/desk.h
+++ b/src/jobs/api_handler.h
@@ -5,9 +5,9 @@
 #include <map>
 #include <string>
 
-#include "cloud/type_book.h"
+#include "cloud/machine_catalog.h"
 #include "config/settings.h"
-#include "jobs/archive.h"
+#include "jobs/job_status_reader.h"
 #include "leader/controller.h"
 #include "leader/election.h"
 #include "net/http_server.h"
@@ -17,11 +17,12 @@
 
 namespace seampass::jobs {
 
-class Desk {
+class ApiHandler {
  public:
-  Desk(net::Runtime& runtime, state::Client& state, const cloud::TypeBook& types,
-       leader::Election& election, leader::Controller& controller, Archive& archive,
-       rpc::PeerTransport& peers, const config::Settings& settings);
+  ApiHandler(net::Runtime& runtime, state::Client& state, const cloud::MachineCatalog& types,
+             leader::Election& election, leader::Controller& controller,
+             JobStatusReader& status_reader, rpc::PeerTransport& peers,
+             const config::Settings& settings);
 
   void handle(const net::Request& request, net::Answer answer);
   void receive(const std::string& from, const rpc::Message& message);
@@ -44,10 +45,10 @@
 
   net::Runtime& runtime_;
   state::Client& state_;
-  const cloud::TypeBook& types_;
+  const cloud::MachineCatalog& types_;
   leader::Election& election_;
   leader::Controller& controller_;
-  Archive& archive_;
+  JobStatusReader& status_reader_;
   rpc::PeerTransport& peers_;
   const config::Settings& settings_;
 
--- a/src/jobs/archive.h
+++ b/src/jobs/job_status_reader.h
@@ -12,11 +12,11 @@
 
 namespace seampass::jobs {
 
-class Archive {
+class JobStatusReader {
  public:
   enum class Found { verdict, open, none, cannot };
 
-  Archive(state::Client& state, std::size_t most) : state_(state), most_(most) {}
+  JobStatusReader(state::Client& state, std::size_t most) : state_(state), most_(most) {}
 
   std::optional<wire::JobStatus> verdict(const std::string& job) {
     const auto it = cache_.find(job);
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -32,21 +32,21 @@
 }  // namespace
 
 Controller::Controller(net::Runtime& runtime, state::Client& state, cloud::Client& cloud,
-                       const cloud::TypeBook& types, workers::Client workers, Election& election,
-                       jobs::Archive& archive, const config::Settings& settings,
-                       const config::Operator& op)
+                       const cloud::MachineCatalog& types, workers::Client workers,
+                       Election& election, jobs::JobStatusReader& status_reader,
+                       const config::Settings& settings, const config::Operator& op)
     : runtime_(runtime),
       state_(state),
       types_(types),
       workers_(std::move(workers)),
       election_(election),
-      archive_(archive),
+      status_reader_(status_reader),
       settings_(settings),
       operator_(op),
-      ledger_(runtime, state, settings.txn_ops,
-              {[this](const std::string& id, std::uint32_t c) { return render(id, c); },
-               [this] { election_.lost(); },
-               [this](const std::string& id, wire::Stage stage) { verdict(id, stage); }}),
+      records_(runtime, state, settings.txn_ops,
+               {[this](const std::string& id, std::uint32_t c) { return render(id, c); },
+                [this] { election_.lost(); },
+                [this](const std::string& id, wire::Stage stage) { verdict(id, stage); }}),
       fleet_(runtime, cloud, types, settings, op, [this](Machine& m) { forget_machine(m); }),
       chunk_tasks_(std::max<std::uint32_t>(
           16, static_cast<std::uint32_t>(settings.value_kb * 1024) / kTaskBytes)) {
@@ -62,9 +62,9 @@
   stop();
   active_ = true;
   began_ = waited_ = ticked_ = runtime_.now();
-  mute_ticks_ = 0;
+  isolated_ticks_ = 0;
   spdlog::info("leading, warrant {}", election_.warrant());
-  ledger_.begin(election_.warrant());
+  records_.begin(election_.warrant());
   fleet_.begin(election_.warrant());
   load("open/", "", true);
   tick();
@@ -73,17 +73,17 @@
 void Controller::stop() {
   if (active_) spdlog::info("no longer leading");
   ++term_;
-  active_ = loaded_ = kicked_ = false;
+  active_ = loaded_ = pass_requested_ = false;
   listed_ = 0;
   for (auto& [id, job] : jobs_)
     for (const auto& w : job->waiters) w({});
   jobs_.clear();
   team_use_.clear();
   kept_.clear();
-  picture_ = {};
+  snapshot_ = {};
   free_slots_.clear();
   for (auto& [klass, a] : arrivals_) a.recent.clear();
-  ledger_.stop();
+  records_.stop();
   fleet_.stop();
   workers_.stop();
 }
@@ -96,7 +96,7 @@
 
 // A job that was accepted before the listing is in it, or has ended under a former leader: news of
 // it is a late copy, and would bring it back. (Without the news the watch tells of it.)
-void Controller::heard_of(const std::string& id, const Json& record, state::Version version) {
+void Controller::on_accepted(const std::string& id, const Json& record, state::Version version) {
   if (listed_ != 0 && version > listed_) accepted(id, record, version);
 }
 
@@ -104,7 +104,7 @@
   if (!active_ || jobs_.contains(id)) return;
   // News of an acceptance can be older than the job's end. (A verdict that has left this cache is
   // still found: the transaction that would assign its tasks compares ends/<id>.)
-  if (archive_.verdict(id)) return;
+  if (status_reader_.verdict(id)) return;
   auto job = std::make_unique<JobRecord>();
   try {
     job->spec = wire::job_from(record.at("job"));
@@ -127,7 +127,7 @@
   spdlog::debug("queued {} of {}, {} tasks, team {}", id, job->spec.klass, job->spec.tasks,
                 job->spec.team);
   jobs_.emplace(id, std::move(job));
-  kick();
+  request_pass();
 }
 
 rpc::Answer Controller::status_of(const JobRecord& job) {
@@ -151,7 +151,7 @@
     JobRecord& job = *it->second;
     // A verdict whose transaction is out may have been read by another node already: until this one
     // knows, only the store can tell.
-    if (!job.ended && !cancel && ledger_.in_doubt(id)) return reply({});
+    if (!job.ended && !cancel && records_.outcome_unknown(id)) return reply({});
     if (job.ended || !cancel) return reply(status_of(job));
     job.waiters.push_back(std::move(reply));
     // Whoever asked is told soon to come again, while the rest goes on.
@@ -161,18 +161,19 @@
       if (term != term_ || late == jobs_.end()) return;
       for (const auto& w : std::exchange(late->second->waiters, {})) w({});
     });
-    if (!job.ending) call_off(job);
+    if (!job.ending) cancel_job(job);
     return;
   }
   const std::uint64_t term = term_;
-  archive_.read(id, [this, term, id, cancel, reply = std::move(reply)](
-                        jobs::Archive::Found found, const wire::JobStatus& status,
-                        const state::Item& open) {
+  status_reader_.read(id, [this, term, id, cancel, reply = std::move(reply)](
+                              jobs::JobStatusReader::Found found, const wire::JobStatus& status,
+                              const state::Item& open) {
     rpc::Answer a;
-    if (term != term_ || !ready() || found == jobs::Archive::Found::cannot) return reply(a);
+    if (term != term_ || !ready() || found == jobs::JobStatusReader::Found::cannot) return reply(a);
     a.status = status;
-    a.verdict = found == jobs::Archive::Found::none ? rpc::Verdict::unknown : rpc::Verdict::known;
-    if (found != jobs::Archive::Found::open) return reply(a);
+    a.verdict =
+        found == jobs::JobStatusReader::Found::none ? rpc::Verdict::unknown : rpc::Verdict::known;
+    if (found != jobs::JobStatusReader::Found::open) return reply(a);
     // Accepted, and the news had not come yet.
     accepted(id, open.value, open.version);
     if (!jobs_.contains(id)) return reply({});
@@ -183,12 +184,12 @@
 // Its user wants it cancelled: all of it is stopped, and nobody is told of a cancellation before it
 // is off everywhere. So whoever leads next, whatever is refused, lost or late then: no task is left
 // that would have to be stopped, and no start that would have to be caught.
-void Controller::call_off(JobRecord& job) {
+void Controller::cancel_job(JobRecord& job) {
   job.ending = true;
   job.held.clear();
   const std::string id = job.spec.id;
   stop_all(job, 0, true);
-  tidy(id);
+  erase_if_settled(id);
 }
 
 void Controller::conclude(JobRecord& job) {
@@ -196,8 +197,8 @@
   job.held.clear();
   const std::string id = job.spec.id;
   const bool done = job.finished_count == job.spec.tasks;
-  ledger_.end(id, job.open_version, done ? wire::Stage::done : wire::Stage::cancelled,
-              job.finished_count, [this, id](wire::Stage actual) { verdict(id, actual); });
+  records_.end(id, job.open_version, done ? wire::Stage::done : wire::Stage::cancelled,
+               job.finished_count, [this, id](wire::Stage actual) { verdict(id, actual); });
 }
 
 void Controller::verdict(const std::string& id, wire::Stage stage) {
@@ -208,29 +209,30 @@
   job.stage = stage;
   spdlog::debug("ended {}, {}", id, wire::stage_name(stage));
   const rpc::Answer answer = status_of(job);
-  archive_.remember(answer.status);
+  status_reader_.remember(answer.status);
   const auto waiters = std::move(job.waiters);
   job.waiters.clear();
   for (const auto& w : waiters) w(answer);
   stop_all(job, 0);
-  tidy(id);
-  kick();
+  erase_if_settled(id);
+  request_pass();
 }
 
 // A job that was called off ends once every task is off; an ended one stays until then, and until
 // its records are gone.
-void Controller::tidy(const std::string& id) {
+void Controller::erase_if_settled(const std::string& id) {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end() || !it->second->charges.empty()) return;
+  if (it == jobs_.end() || !it->second->attempts.empty()) return;
   if (it->second->ending && !it->second->concluding) conclude(*it->second);
   if (!it->second->ended) return;
   const auto erase = [this, id] {
     const auto job = jobs_.find(id);
-    if (job == jobs_.end() || !ledger_.settled(id)) return;
-    ledger_.forget(id);
+    if (job == jobs_.end() || !records_.settled(id)) return;
+    records_.forget(id);
     jobs_.erase(job);
   };
-  for (const std::uint32_t c : ledger_.chunks(id)) ledger_.changed(id, c, Urgency::progress, erase);
+  for (const std::uint32_t c : records_.chunks(id))
+    records_.changed(id, c, Urgency::progress, erase);
   erase();
 }
 
@@ -241,7 +243,7 @@
   const std::uint32_t from = chunk * chunk_tasks_;
   const std::uint32_t to = std::min(from + chunk_tasks_, job.spec.tasks);
   Json tasks = Json::array();
-  for (auto c = job.charges.lower_bound(from); c != job.charges.end() && c->first < to; ++c)
+  for (auto c = job.attempts.lower_bound(from); c != job.attempts.end() && c->first < to; ++c)
     tasks.push_back({c->first, c->second.attempt, c->second.machine->name, c->second.session});
   if (job.ended && tasks.empty()) return std::nullopt;
   Json v{{"attempt", job.last_attempt}, {"tasks", std::move(tasks)}, {"team", job.spec.team},
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -1,7 +1,7 @@
 // The leading controller: the jobs, what runs where, and the decisions. It acts only between
 // begin() and stop(), which the election calls. Its parts, by what they own: controller.cc the jobs
-// and their ends, recovery.cc the take-over, reports.cc charges and workers, planning.cc passes and
-// rentals.
+// and their ends, recovery.cc the take-over, reports.cc attempts and workers, absence.cc what
+// proves an attempt absent, planning.cc passes and rentals.
 #pragma once
 
 #include <deque>
@@ -12,15 +12,15 @@
 #include <string>
 #include <vector>
 
-#include "cloud/type_book.h"
+#include "cloud/machine_catalog.h"
 #include "config/settings.h"
-#include "jobs/archive.h"
+#include "jobs/job_status_reader.h"
 #include "leader/election.h"
 #include "leader/fleet.h"
-#include "leader/ledger.h"
+#include "leader/record_store.h"
 #include "net/runtime.h"
 #include "rpc/peer.h"
-#include "sched/picture.h"
+#include "sched/snapshot.h"
 #include "state/client.h"
 #include "workers/client.h"
 
@@ -28,8 +28,9 @@
 
 struct JobRecord;
 
-// One attempt of one task on one machine, from its durable record until it is known to be off.
-struct Charge {
+// One attempt of one task on one machine, from its durable record until it is known to be off
+// (docs/architecture.md, "Off").
+struct TaskAttempt {
   JobRecord* job = nullptr;
   std::uint32_t task = 0;
   std::uint64_t attempt = 0;
@@ -57,13 +58,13 @@
   std::vector<bool> finished;
   std::uint32_t finished_count = 0;
   std::uint32_t hint = 0;  // no task before this one is free
-  std::map<std::uint32_t, Charge> charges;
+  std::map<std::uint32_t, TaskAttempt> attempts;
   std::uint32_t running = 0;
   net::Ms retry_at = 0;
   int failures = 0;  // since a task of it was done, and on which machines
   std::set<std::string> failed_on;
   // Task and machine where an attempt ended without a result and is not forgotten.
-  std::set<std::pair<std::uint32_t, std::string>> leftovers;
+  std::set<std::pair<std::uint32_t, std::string>> unreaped_attempts;
   // Gangs.
   std::vector<std::pair<std::uint32_t, std::string>> held;
   net::Ms held_since = 0;
@@ -71,7 +72,7 @@
   std::string kept_zone;    // where its room is kept since then, if anywhere
   net::Ms kept_since = 0;
   // Ends. `ending`: nothing of it is started any more; it was called off, or all of it is done.
-  // `concluding`: its verdict is with the ledger. `ended`: the verdict is in the store.
+  // `concluding`: its verdict is with the record store. `ended`: the verdict is in the store.
   bool ending = false;
   bool concluding = false;
   bool ended = false;
@@ -90,15 +91,16 @@
 class Controller {
  public:
   Controller(net::Runtime& runtime, state::Client& state, cloud::Client& cloud,
-             const cloud::TypeBook& types, workers::Client workers, Election& election,
-             jobs::Archive& archive, const config::Settings& settings, const config::Operator& op);
+             const cloud::MachineCatalog& types, workers::Client workers, Election& election,
+             jobs::JobStatusReader& status_reader, const config::Settings& settings,
+             const config::Operator& op);
 
   void begin();
   void stop();
 
   CheckinAnswer checkin(const wire::WorkerReport& report);
   // News that a job was accepted, from this node or another.
-  void heard_of(const std::string& id, const wire::Json& record, state::Version version);
+  void on_accepted(const std::string& id, const wire::Json& record, state::Version version);
   // A poll or a cancellation; `cannot` unless the lease surely holds.
   void ask(const std::string& id, bool cancel, std::function<void(const rpc::Answer&)> reply);
 
@@ -117,35 +119,37 @@
   void accepted(const std::string& id, const wire::Json& record, state::Version version);
   static void finish_task(JobRecord& job, std::uint32_t task);
   void maybe_done(JobRecord& job);
-  void call_off(JobRecord& job);
+  void cancel_job(JobRecord& job);
   void conclude(JobRecord& job);
   void verdict(const std::string& id, wire::Stage stage);
-  void tidy(const std::string& id);
+  void erase_if_settled(const std::string& id);
   static rpc::Answer status_of(const JobRecord& job);
   std::optional<wire::Json> render(const std::string& id, std::uint32_t chunk) const;
 
   // Charges: reports.cc.
-  Charge& charge(JobRecord& job, std::uint32_t task, std::uint64_t attempt, Machine& machine,
-                 std::uint64_t session);
-  void release(Charge& charge);
+  TaskAttempt& add_attempt(JobRecord& job, std::uint32_t task, std::uint64_t attempt,
+                           Machine& machine, std::uint64_t session);
+  void release(TaskAttempt& attempt);
   void lost_attempt(JobRecord& job);
-  Charge* find_charge(const std::string& job, std::uint32_t task);
-  void stop_charge(Charge& charge, double grace_s);
-  void stop_to_save(Charge& charge);
+  TaskAttempt* find_attempt(const std::string& job, std::uint32_t task);
+  void stop_attempt(TaskAttempt& attempt, double grace_s);
+  void stop_to_save(TaskAttempt& attempt);
   void stop_all(JobRecord& job, double grace_s, bool again = false);
-  void send_stops(const std::vector<Charge*>& charges);
-  void set_state(Charge& charge, wire::TaskState state);
+  void send_stops(const std::vector<TaskAttempt*>& attempts);
+  void set_state(TaskAttempt& attempt, wire::TaskState state);
   void machine_gone(Machine& machine);
   void forget_machine(Machine& machine);
 
   // Workers: reports.cc.
   void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
-  void blame(JobRecord& job, Machine& machine);
-  void task_exited(Charge& charge, const wire::TaskReport& task);
+  void record_failure(JobRecord& job, Machine& machine);
+  void task_exited(TaskAttempt& attempt, const wire::TaskReport& task);
+
+  // What proves an attempt absent: absence.cc.
   void confirm_missing(Machine& machine);
   void take_inspection(Machine& machine, const wire::WorkerReport& report,
                        const std::vector<AttemptName>& asked);
-  void release_missing(const std::vector<Charge*>& missing);
+  void release_missing(const std::vector<TaskAttempt*>& missing);
   bool may_forget(const Machine& machine, const wire::TaskReport& task) const;
   std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
   void send(Machine& machine, const std::vector<wire::Command>& commands);
@@ -154,45 +158,45 @@
                       const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks);
 
   // Scheduling: planning.cc.
-  void kick();
+  void request_pass();
   // lateness: how long after it was due; a sign of how busy this process is.
   void run_pass(net::Ms lateness);
-  void draw(Machine& machine, const wire::MachineType& type);
-  void draw_machines();
-  void draw_teams();
-  std::vector<JobRecord*> draw_jobs();
+  void update_view(Machine& machine, const wire::MachineType& type);
+  void update_machines();
+  void update_teams();
+  std::vector<JobRecord*> update_jobs();
   std::set<const JobRecord*> guaranteed_jobs() const;
   void keep_zones(const std::vector<JobRecord*>& jobs);
   void touch(std::size_t slot);
   double longest_boot_s() const;
   double age_s(const JobRecord& job) const;
-  double patience_s(const JobRecord& job) const;
+  double wait_budget_s(const JobRecord& job) const;
   std::vector<sched::Spare> spares() const;
   void plan();
   void empty_machines();
   void evict(const sched::Decisions& decisions);
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks);
   void tick();
-  bool mute();
+  bool is_isolated();
   void log_use() const;
   void drain_noticed();
 
   net::Runtime& runtime_;
   state::Client& state_;
-  const cloud::TypeBook& types_;
+  const cloud::MachineCatalog& types_;
   workers::Client workers_;
   Election& election_;
-  jobs::Archive& archive_;
+  jobs::JobStatusReader& status_reader_;
   const config::Settings& settings_;
   const config::Operator& operator_;
-  Ledger ledger_;
+  RecordStore records_;
   Fleet fleet_;
   std::uint32_t chunk_tasks_;
 
-  bool active_ = false, loaded_ = false, kicked_ = false;
+  bool active_ = false, loaded_ = false, pass_requested_ = false;
   std::uint64_t term_ = 0;
   net::Ms ticked_ = 0;
-  int mute_ticks_ = 0;
+  int isolated_ticks_ = 0;
   net::Ms began_ = 0, last_rental_ = 0, next_pass_ = 0;
   net::Ms waited_ = 0;         // when a job last found no place
   state::Version listed_ = 0;  // open jobs were listed as of this revision; 0: not yet
@@ -200,7 +204,7 @@
   std::map<std::string, std::unique_ptr<JobRecord>> jobs_;
   std::map<std::string, sched::Need> team_use_;
   // Kept from pass to pass: a machine is drawn anew when it has changed.
-  sched::Picture picture_;
+  sched::ClusterSnapshot snapshot_;
   std::vector<std::size_t> free_slots_;
 
   // Arrivals of the classes that have a start aim: what a spare is measured by.
--- a/src/leader/fleet.cc
+++ b/src/leader/fleet.cc
@@ -15,7 +15,7 @@
 constexpr double kBootPatience = 3;
 }  // namespace
 
-Fleet::Fleet(net::Runtime& runtime, cloud::Client& cloud, const cloud::TypeBook& types,
+Fleet::Fleet(net::Runtime& runtime, cloud::Client& cloud, const cloud::MachineCatalog& types,
              const config::Settings& settings, const config::Operator& op,
              std::function<void(Machine&)> gone)
     : runtime_(runtime),
@@ -166,7 +166,7 @@
       const double boot = type ? type->boot_s : settings_.lease_s;
       const Ms patience = net::ms(kBootPatience * boot);
       if (now - m.since > patience &&
-          now - began_ > (m.charges.empty() ? lease : std::max(lease, patience)))
+          now - began_ > (m.attempts.empty() ? lease : std::max(lease, patience)))
         doomed.push_back(&m);
       continue;
     }
@@ -177,7 +177,7 @@
       if (alone || now - std::max(m.heard, began_) > lease + lease / 50) doomed.push_back(&m);
       continue;
     }
-    if (m.charges.empty() && m.strangers == 0 && !kept.contains(name)) {
+    if (m.attempts.empty() && m.unknown_tasks == 0 && !kept.contains(name)) {
       const double boot = type ? type->boot_s : settings_.lease_s;
       if (m.draining || m.taken_at || now - m.idle_since > net::ms(operator_.idle_return * boot))
         doomed.push_back(&m);
@@ -186,7 +186,8 @@
     }
   }
   for (Machine* m : doomed) {
-    spdlog::debug("returning {} ({}, up {}, {} tasks)", m->name, m->type, m->up, m->charges.size());
+    spdlog::debug("returning {} ({}, up {}, {} tasks)", m->name, m->type, m->up,
+                  m->attempts.size());
     remove(*m);
   }
 }
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -10,14 +10,14 @@
 #include <vector>
 
 #include "cloud/client.h"
-#include "cloud/type_book.h"
+#include "cloud/machine_catalog.h"
 #include "config/settings.h"
 #include "net/runtime.h"
-#include "sched/picture.h"
+#include "sched/snapshot.h"
 
 namespace seampass::leader {
 
-struct Charge;
+struct TaskAttempt;
 
 // Job id, task, attempt.
 using AttemptName = std::tuple<std::string, std::uint32_t, std::uint64_t>;
@@ -27,32 +27,33 @@
   bool spot = false;
   bool up = false;  // has shown this leader's warrant: it lives now, and hears us
   bool deleting = false;
-  bool draining = false;              // takes nothing new
-  net::Ms since = 0;                  // rented, as far as known
-  net::Ms heard = -1;                 // last check-in that this leader may have answered; -1: none
-  net::Ms met = -1;                   // first check-in of this term; -1: none
-  net::Ms listed_up = -1;             // first listed as running in this term; -1: not yet
-  std::optional<net::Ms> deaf_since;  // the first command without an answer since the last with one
+  bool draining = false;            // takes nothing new
+  net::Ms since = 0;                // rented, as far as known
+  net::Ms heard = -1;               // last check-in that this leader may have answered; -1: none
+  net::Ms first_heartbeat_at = -1;  // first check-in of this term; -1: none
+  net::Ms listed_up = -1;           // first listed as running in this term; -1: not yet
+  std::optional<net::Ms>
+      unresponsive_since;  // the first command without an answer since the last with one
   std::uint64_t session = 0, seq = 0, token = 0;
   // Session and seq of the latest check-in that showed this leader's warrant, and of the latest
   // that did not.
-  std::pair<std::uint64_t, std::uint64_t> checkin, early;
-  net::Ms obeyed = -1;              // last command that was, or may have been, executed; -1: none
-  bool inspecting = false;          // an inspection is on its way
-  std::optional<net::Ms> taken_at;  // spot notice
+  std::pair<std::uint64_t, std::uint64_t> checkin, last_unconfirmed_heartbeat;
+  net::Ms last_command_ack_at = -1;  // last command that was, or may have been, executed; -1: none
+  bool inspecting = false;           // an inspection is on its way
+  std::optional<net::Ms> taken_at;   // spot notice
   net::Ms idle_since = 0;
   net::Ms suspect_until = 0;
   std::set<std::string> failed_jobs;  // since a task was done here
-  std::map<std::pair<std::string, std::uint32_t>, Charge*> charges;
+  std::map<std::pair<std::string, std::uint32_t>, TaskAttempt*> attempts;
   std::string claimed_by;  // a job that room is being cleared for
   net::Ms claimed_until = 0;
-  std::size_t strangers = 0;  // reported tasks that nothing charges
+  std::size_t unknown_tasks = 0;  // reported tasks that no attempt accounts for
   std::set<std::string> images;
   std::set<AttemptName> exited;  // reported as ended and not forgotten yet
   // Starts sent to /commands in this session: until it changes, each may be executed late, or once
   // more by a late copy. The worker ignores it for as long as it knows the attempt.
   std::set<AttemptName> started;
-  // Its place among the picture's machines, and whether it has changed since it was drawn there.
+  // Its place among the snapshot's machines, and whether it has changed since it was drawn there.
   std::size_t slot = kNoSlot;
   bool stale = true;
   static constexpr std::size_t kNoSlot = static_cast<std::size_t>(-1);
@@ -66,7 +67,7 @@
 class Fleet {
  public:
   // gone: the machine, and all that is on it, surely no longer exists.
-  Fleet(net::Runtime& runtime, cloud::Client& cloud, const cloud::TypeBook& types,
+  Fleet(net::Runtime& runtime, cloud::Client& cloud, const cloud::MachineCatalog& types,
         const config::Settings& settings, const config::Operator& op,
         std::function<void(Machine&)> gone);
 
@@ -102,7 +103,7 @@
 
   net::Runtime& runtime_;
   cloud::Client& cloud_;
-  const cloud::TypeBook& types_;
+  const cloud::MachineCatalog& types_;
   const config::Settings& settings_;
   const config::Operator& operator_;
   std::function<void(Machine&)> gone_;
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -1,4 +1,4 @@
-// The Controller's decisions: from its picture of jobs and machines to starts, stops and rentals.
+// The Controller's decisions: from its snapshot of jobs and machines to starts, stops and rentals.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -37,36 +37,36 @@
 constexpr std::size_t kEmptiedShare = 50;
 // A leader makes way if so large a share of its machines, and at least so many, said nothing for so
 // many report intervals.
-constexpr double kMuteShare = 0.9;
-constexpr std::size_t kMuteLeast = 3;
-constexpr double kMuteReports = 1.6;
+constexpr double kIsolatedShare = 0.9;
+constexpr std::size_t kIsolatedLeast = 3;
+constexpr double kIsolatedReports = 1.6;
 // A spare is kept on no type that costs more than this many times the cheapest that would do.
 constexpr double kSpareDearest = 3;
 
 }  // namespace
 
-void Controller::kick() {
-  if (kicked_ || !loaded_) return;
-  kicked_ = true;
+void Controller::request_pass() {
+  if (pass_requested_ || !loaded_) return;
+  pass_requested_ = true;
   const std::uint64_t term = term_;
   const Ms due = std::max(runtime_.now() + 1, next_pass_);
   runtime_.after(due - runtime_.now(), [this, term, due] {
     if (term != term_) return;
-    kicked_ = false;
+    pass_requested_ = false;
     run_pass(runtime_.now() - due);
   });
 }
 
 // What a machine is used for, drawn anew only after it has changed.
-void Controller::draw(Machine& m, const wire::MachineType& type) {
-  sched::MachineView& v = picture_.machines[m.slot];
+void Controller::update_view(Machine& m, const wire::MachineType& type) {
+  sched::MachineView& v = snapshot_.machines[m.slot];
   v.name = m.name;
   v.type = m.type;
   v.zone = m.zone;
   v.spot = m.spot;
   v.total = v.free = {type.cpus, type.gpus, type.memory_gb};
   v.victims.clear();
-  for (const auto& [key, c] : m.charges) {
+  for (const auto& [key, c] : m.attempts) {
     const wire::Job& spec = c->job->spec;
     v.free -= need_of(spec);
     // Only what saves, runs, and is not being stopped already.
@@ -75,11 +75,11 @@
                            !spec.zone && !spec.one_zone && !spec.spread, 0, spec.save_s});
   }
   v.images = m.images;
-  v.tasks = m.charges.size();
+  v.tasks = m.attempts.size();
   m.stale = false;
 }
 
-void Controller::draw_machines() {
+void Controller::update_machines() {
   const Ms now = runtime_.now();
   const Ms fresh = net::ms(settings_.lease_s) / 3;
   for (auto& [name, m] : fleet_.machines()) {
@@ -87,29 +87,30 @@
     if (!type) continue;
     if (m.slot == Machine::kNoSlot) {
       if (free_slots_.empty()) {
-        m.slot = picture_.machines.size();
-        picture_.machines.emplace_back();
+        m.slot = snapshot_.machines.size();
+        snapshot_.machines.emplace_back();
       } else {
         m.slot = free_slots_.back();
         free_slots_.pop_back();
       }
       m.stale = true;
     }
-    if (m.stale) draw(m, *type);
+    if (m.stale) update_view(m, *type);
     // What time alone changes.
-    sched::MachineView& v = picture_.machines[m.slot];
+    sched::MachineView& v = snapshot_.machines[m.slot];
     v.price = m.spot ? type->spot_price : type->price;
     // A third of the lease without a word: whatever is started there may never be.
-    v.open = m.up && !m.deleting && !m.draining && !m.taken_at && m.strangers == 0 &&
+    v.open = m.up && !m.deleting && !m.draining && !m.taken_at && m.unknown_tasks == 0 &&
              now >= m.suspect_until && now - m.heard < fresh;
     // (One that reports shows within a report that it hears us, or it is no machine on its way.)
-    v.booting = !m.up && !m.deleting && m.charges.empty() &&
-                (m.met < 0 ? now - m.since < net::ms(2 * type->boot_s)
-                           : now - m.met < net::ms(settings_.report_s));
+    v.booting =
+        !m.up && !m.deleting && m.attempts.empty() &&
+        (m.first_heartbeat_at < 0 ? now - m.since < net::ms(2 * type->boot_s)
+                                  : now - m.first_heartbeat_at < net::ms(settings_.report_s));
     v.claimed_by.clear();
     if (now < m.claimed_until && jobs_.contains(m.claimed_by)) v.claimed_by = m.claimed_by;
   }
-  picture_.asked.clear();
+  snapshot_.asked.clear();
   for (const auto& [request, asked] : fleet_.asked()) {
     const wire::MachineType* type = types_.find(asked.type);
     if (!type) continue;
@@ -119,14 +120,14 @@
     v.spot = asked.spot;
     v.booting = true;
     v.total = v.free = {type->cpus, type->gpus, type->memory_gb};
-    picture_.asked.insert(picture_.asked.end(), static_cast<std::size_t>(asked.count), v);
+    snapshot_.asked.insert(snapshot_.asked.end(), static_cast<std::size_t>(asked.count), v);
   }
 }
 
-void Controller::draw_teams() {
-  picture_.teams.clear();
+void Controller::update_teams() {
+  snapshot_.teams.clear();
   for (const config::Team& t : settings_.teams) {
-    sched::TeamView& v = picture_.teams[t.name];
+    sched::TeamView& v = snapshot_.teams[t.name];
     if (t.cpus_max > 0) v.cpus_max = t.cpus_max;
     if (t.gpus_max > 0) v.gpus_max = t.gpus_max;
     const auto use = team_use_.find(t.name);
@@ -157,19 +158,19 @@
   return result;
 }
 
-std::vector<JobRecord*> Controller::draw_jobs() {
-  picture_.jobs.clear();
+std::vector<JobRecord*> Controller::update_jobs() {
+  snapshot_.jobs.clear();
   std::vector<JobRecord*> jobs;
   const Ms now = runtime_.now();
   const auto guaranteed = guaranteed_jobs();
   for (auto& [id, job] : jobs_) {
     if (job->ending || job->hint == job->spec.tasks) continue;
     const bool gang = job->gang();
-    if (gang && !job->charges.empty()) continue;  // the next attempt waits for all of the last
+    if (gang && !job->attempts.empty()) continue;  // the next attempt waits for all of the last
     sched::JobView v;
     // A job that fails everywhere takes room for one task, to see whether it still does.
     const bool one = job->broken() && job->running == 0 && !gang;
-    if (one && !job->charges.empty()) continue;
+    if (one && !job->attempts.empty()) continue;
     const std::size_t most = one ? 1 : kPassTasks;
     for (std::uint32_t t = job->hint; t < job->spec.tasks && v.pending.size() < most; ++t) {
       if (!job->taken[t]) v.pending.push_back(t);
@@ -195,36 +196,36 @@
     v.spread = job->spec.spread;
     v.spot = job->spec.spot;
     v.image = job->spec.image;
-    v.patience_s = patience_s(*job);
+    v.wait_budget_s = wait_budget_s(*job);
     v.urgent = arrivals_.contains(job->spec.klass);
     v.guaranteed = guaranteed.contains(job.get());
     v.turn = v.guaranteed ? 0 : 1;
     v.tasks = job->spec.tasks;
-    for (const auto& [task, c] : job->charges) ++v.placed[c.machine->zone];
+    for (const auto& [task, c] : job->attempts) ++v.placed[c.machine->zone];
     v.blocked = now < job->retry_at;
     // Where a copy of an earlier attempt's start may still come late, that attempt is not
     // forgotten, and would be in the way of this one.
-    for (auto left = job->leftovers.begin(); left != job->leftovers.end();) {
+    for (auto left = job->unreaped_attempts.begin(); left != job->unreaped_attempts.end();) {
       const Machine* m = fleet_.find(left->second);
       const auto e =
           m ? m->started.lower_bound({id, left->first, 0}) : decltype(m->started.end())();
       const bool there =
           m && e != m->started.end() && std::get<0>(*e) == id && std::get<1>(*e) == left->first;
       if (there && m->slot != Machine::kNoSlot) v.avoid.insert({left->first, m->slot});
-      left = there ? std::next(left) : job->leftovers.erase(left);
+      left = there ? std::next(left) : job->unreaped_attempts.erase(left);
     }
     v.whole_only = job->whole_only;
     for (const auto& [task, name] : job->held) {
       const Machine* m = fleet_.find(name);
       if (!m || m->slot == Machine::kNoSlot || v.blocked) continue;
-      sched::MachineView& machine = picture_.machines[m->slot];
+      sched::MachineView& machine = snapshot_.machines[m->slot];
       if (!machine.open) continue;
       machine.free -= v.need;
-      picture_.teams[v.team].cpus += v.need.cpus;
-      picture_.teams[v.team].gpus += v.need.gpus;
+      snapshot_.teams[v.team].cpus += v.need.cpus;
+      snapshot_.teams[v.team].gpus += v.need.gpus;
       v.held.push_back({task, m->slot});
     }
-    picture_.jobs.push_back(std::move(v));
+    snapshot_.jobs.push_back(std::move(v));
     jobs.push_back(job.get());
   }
   return jobs;
@@ -237,15 +238,15 @@
 void Controller::keep_zones(const std::vector<JobRecord*>& jobs) {
   const Ms now = runtime_.now();
   std::set<std::string> taken;
-  for (const std::size_t j : sched::queue_order(picture_.jobs)) {
+  for (const std::size_t j : sched::queue_order(snapshot_.jobs)) {
     JobRecord& job = *jobs[j];
-    sched::JobView& v = picture_.jobs[j];
+    sched::JobView& v = snapshot_.jobs[j];
     if (!job.gang() || !v.one_zone || !job.whole_only || v.blocked) continue;
     const bool late = now - job.kept_since > net::ms(kKeptBoots * longest_boot_s());
     if (job.kept_zone.empty() || late || taken.contains(job.kept_zone)) {
       std::map<std::string, std::uint32_t>
           hosts;  // machines that could take a task, were they empty
-      for (const sched::MachineView& m : picture_.machines)
+      for (const sched::MachineView& m : snapshot_.machines)
         if ((m.open || m.booting) && !taken.contains(m.zone) &&
             sched::allowed(v, m.type, m.zone, m.spot) && sched::capacity(v.need, m.total) > 0)
           ++hosts[m.zone];
@@ -272,24 +273,24 @@
 void Controller::run_pass(Ms lateness) {
   if (!ready() || !types_.known()) return;
   const Ms began = runtime_.now();
-  picture_.choice = operator_.machine_choice == "first-fit" ? sched::MachineChoice::first_fit
-                                                            : sched::MachineChoice::scored;
-  draw_machines();
-  draw_teams();
-  const std::vector<JobRecord*> jobs = draw_jobs();
+  snapshot_.choice = operator_.machine_choice == "first-fit" ? sched::MachineChoice::first_fit
+                                                             : sched::MachineChoice::scored;
+  update_machines();
+  update_teams();
+  const std::vector<JobRecord*> jobs = update_jobs();
   // Machines have had time to come, twice over, and did not: more is asked than there is.
   const double patience = 2 * longest_boot_s();
   if (std::any_of(jobs.begin(), jobs.end(),
                   [&](const JobRecord* job) { return age_s(*job) > patience; })) {
     std::map<std::string, double> guaranteed;
     for (const config::Team& t : settings_.teams) guaranteed[t.name] = t.gpus;
-    sched::set_turns(picture_.jobs, picture_.teams, guaranteed);
+    sched::set_turns(snapshot_.jobs, snapshot_.teams, guaranteed);
   }
   keep_zones(jobs);
-  // Room that is held is taken in the picture only until the pass is over.
-  for (const sched::JobView& v : picture_.jobs)
+  // Room that is held is taken in the snapshot only until the pass is over.
+  for (const sched::JobView& v : snapshot_.jobs)
     for (const sched::Placement& x : v.held) touch(x.machine);
-  const sched::Decisions d = sched::pass(picture_);
+  const sched::Decisions d = sched::pass(snapshot_);
   const Ms now = runtime_.now();
   for (JobRecord* job : jobs) {
     if (job->held.empty()) job->held_since = now;
@@ -297,7 +298,7 @@
   }
   for (const sched::Batch& b : d.holds) {
     for (const sched::Placement& x : b.tasks) {
-      jobs[b.job]->held.emplace_back(x.task, picture_.machines[x.machine].name);
+      jobs[b.job]->held.emplace_back(x.task, snapshot_.machines[x.machine].name);
       touch(x.machine);
     }
   }
@@ -317,7 +318,7 @@
 }
 
 void Controller::touch(std::size_t slot) {
-  if (Machine* m = fleet_.find(picture_.machines[slot].name)) m->stale = true;
+  if (Machine* m = fleet_.find(snapshot_.machines[slot].name)) m->stale = true;
 }
 
 double Controller::age_s(const JobRecord& job) const {
@@ -326,7 +327,7 @@
 
 // How long a start may wait and still meet the first of its class's aims that can be met; at least
 // half as long as a new machine would take.
-double Controller::patience_s(const JobRecord& job) const {
+double Controller::wait_budget_s(const JobRecord& job) const {
   const wire::Job& spec = job.spec;
   double boot = 0;
   double fetch = 0;
@@ -356,8 +357,8 @@
 std::vector<sched::Spare> Controller::spares() const {
   std::vector<sched::Spare> list;
   double spent = 0;
-  for (const sched::MachineView& m : picture_.machines) spent += m.price;
-  for (const sched::MachineView& m : picture_.asked) spent += m.price;
+  for (const sched::MachineView& m : snapshot_.machines) spent += m.price;
+  for (const sched::MachineView& m : snapshot_.asked) spent += m.price;
   const Ms now = runtime_.now();
   for (const auto& [klass, a] : arrivals_) {
     if (a.recent.empty()) continue;
@@ -386,7 +387,7 @@
     double ends = 0;
     for (const auto& [id, job] : jobs_) {
       if (job->spec.klass != klass) continue;
-      for (const auto& [task, c] : job->charges)
+      for (const auto& [task, c] : job->attempts)
         if (c.running_since != 0 && now - c.running_since > net::ms(job->spec.estimate_s - boot))
           ends += kEndsCounted;
     }
@@ -409,19 +410,19 @@
 }
 
 void Controller::evict(const sched::Decisions& d) {
-  std::vector<Charge*> stops;
+  std::vector<TaskAttempt*> stops;
   for (const sched::Eviction& e : d.evictions) {
     double grace = 0;
     for (const sched::Victim& v : e.tasks) {
-      Charge* c = find_charge(v.job, v.task);
+      TaskAttempt* c = find_attempt(v.job, v.task);
       if (!c) continue;
       stop_to_save(*c);
       stops.push_back(c);
       grace = std::max(grace, c->grace_s);
     }
-    Machine* m = fleet_.find(picture_.machines[e.machine].name);
+    Machine* m = fleet_.find(snapshot_.machines[e.machine].name);
     if (!m) continue;
-    m->claimed_by = picture_.jobs[e.job].id;
+    m->claimed_by = snapshot_.jobs[e.job].id;
     m->claimed_until = runtime_.now() + net::ms(grace + 2 * settings_.report_s);
     spdlog::debug("clearing {} of {} tasks for {}", m->name, e.tasks.size(), m->claimed_by);
   }
@@ -432,9 +433,9 @@
   const Ms now = runtime_.now();
   for (const auto& [name, m] : fleet_.machines()) {
     if (m.slot == Machine::kNoSlot) continue;
-    auto& releases = picture_.machines[m.slot].releases;
+    auto& releases = snapshot_.machines[m.slot].releases;
     releases.clear();
-    for (const auto& [key, c] : m.charges) {
+    for (const auto& [key, c] : m.attempts) {
       const wire::Job& spec = c->job->spec;
       if (spec.kind == wire::JobKind::service) continue;
       // The owner's estimate, often wrong: what has outlived it may take some more.
@@ -444,12 +445,12 @@
     }
   }
   const auto options = fleet_.options();
-  const sched::MachinePlan plan = sched::plan_machines(picture_, options, spares());
+  const sched::MachinePlan plan = sched::plan_machines(snapshot_, options, spares());
   kept_.clear();
-  for (const std::size_t i : plan.keep) kept_.insert(picture_.machines[i].name);
+  for (const std::size_t i : plan.keep) kept_.insert(snapshot_.machines[i].name);
   for (const sched::RentalWish& w : plan.rentals) fleet_.rent(options[w.option], w.count);
   // (Where jobs wait now and then, the next would wait for the machine that was just returned.)
-  if (std::any_of(picture_.jobs.begin(), picture_.jobs.end(),
+  if (std::any_of(snapshot_.jobs.begin(), snapshot_.jobs.end(),
                   [](const sched::JobView& j) { return !j.pending.empty(); }))
     waited_ = now;
   if (now - waited_ > net::ms(longest_boot_s())) empty_machines();
@@ -459,22 +460,22 @@
 // returned.
 void Controller::empty_machines() {
   const Ms now = runtime_.now();
-  for (sched::MachineView& m : picture_.machines) {
+  for (sched::MachineView& m : snapshot_.machines) {
     for (sched::Victim& v : m.victims) {
-      const Charge* c = find_charge(v.job, v.task);
+      const TaskAttempt* c = find_attempt(v.job, v.task);
       if (!c) continue;
       v.left_s = c->job->spec.estimate_s - static_cast<double>(now - c->running_since) / 1000;
     }
   }
   const std::size_t most = 1 + fleet_.machines().size() / kEmptiedShare;
-  std::vector<Charge*> stops;
+  std::vector<TaskAttempt*> stops;
   for (const std::size_t i :
-       sched::emptied(picture_, settings_.report_s / 3, kEmptiedWorth, most)) {
-    Machine* m = fleet_.find(picture_.machines[i].name);
+       sched::emptied(snapshot_, settings_.report_s / 3, kEmptiedWorth, most)) {
+    Machine* m = fleet_.find(snapshot_.machines[i].name);
     if (!m || kept_.contains(m->name)) continue;
     m->draining = true;
-    spdlog::debug("emptying {} of {} tasks", m->name, m->charges.size());
-    for (const auto& [key, c] : m->charges) {
+    spdlog::debug("emptying {} of {} tasks", m->name, m->attempts.size());
+    for (const auto& [key, c] : m->attempts) {
       stop_to_save(*c);
       stops.push_back(c);
     }
@@ -491,21 +492,21 @@
   std::map<std::uint32_t, std::vector<std::pair<std::uint32_t, std::uint64_t>>> by_chunk;
   std::vector<std::pair<std::uint32_t, std::uint64_t>> all;
   for (const sched::Placement& x : tasks) {
-    Machine* m = fleet_.find(picture_.machines[x.machine].name);
+    Machine* m = fleet_.find(snapshot_.machines[x.machine].name);
     if (!m) continue;
     m->stale = true;
-    charge(job, x.task, attempt, *m, m->session);
+    add_attempt(job, x.task, attempt, *m, m->session);
     by_chunk[chunk_of(x.task)].emplace_back(x.task, attempt);
     all.emplace_back(x.task, attempt);
   }
   spdlog::debug("starting {} tasks of {} try {} on {}", all.size(), job.spec.id, attempt,
-                picture_.machines[tasks.front().machine].name);
+                snapshot_.machines[tasks.front().machine].name);
   const std::string id = job.spec.id;
   const bool gang = job.gang();
   // A gang's start record may span several chunks: nothing starts before the last is durable.
   const auto waiting = std::make_shared<std::size_t>(by_chunk.size());
   for (auto& [chunk, list] : by_chunk) {
-    ledger_.changed(id, chunk, Urgency::assignment, [this, id, gang, waiting, all, list = list] {
+    records_.changed(id, chunk, Urgency::assignment, [this, id, gang, waiting, all, list = list] {
       if (!gang) return starts_durable(id, list);
       if (--*waiting == 0) starts_durable(id, all);
     });
@@ -515,7 +516,7 @@
 // No worker reaches this node, though the state service does: each is sent back to it by all others
 // until its lease is over. Two ticks in a row, since after standing still everything looks silent
 // until the sockets have been read.
-bool Controller::mute() {
+bool Controller::is_isolated() {
   const Ms now = runtime_.now();
   const bool in_time = now - ticked_ < net::ms(settings_.report_s);
   ticked_ = now;
@@ -526,11 +527,11 @@
     // way: making way for that would go round for ever.)
     if (m.deleting || !m.up) continue;
     ++due;
-    silent += now - m.heard > net::ms(kMuteReports * settings_.report_s) ? 1 : 0;
+    silent += now - m.heard > net::ms(kIsolatedReports * settings_.report_s) ? 1 : 0;
   }
-  const bool most_silent = static_cast<double>(silent) >= kMuteShare * static_cast<double>(due);
-  mute_ticks_ = in_time && due >= kMuteLeast && most_silent ? mute_ticks_ + 1 : 0;
-  return mute_ticks_ >= 2;
+  const bool most_silent = static_cast<double>(silent) >= kIsolatedShare * static_cast<double>(due);
+  isolated_ticks_ = in_time && due >= kIsolatedLeast && most_silent ? isolated_ticks_ + 1 : 0;
+  return isolated_ticks_ >= 2;
 }
 
 void Controller::tick() {
@@ -540,7 +541,7 @@
     tick();
   });
   if (!ready()) return;
-  if (mute() && election_.resign()) return;
+  if (is_isolated() && election_.resign()) return;
   const Ms now = runtime_.now();
   const Ms lease = net::ms(settings_.lease_s);
   // Without a word for longer than its lease since the last check-in that anyone may have
@@ -549,15 +550,15 @@
   const Ms unheard = net::ms(settings_.cancel_s) + lease / 500 + 50;
   std::vector<Machine*> expired;
   for (auto& [name, m] : fleet_.machines()) {
-    if (m.charges.empty()) continue;
-    const bool in_flight = std::any_of(m.charges.begin(), m.charges.end(),
+    if (m.attempts.empty()) continue;
+    const bool in_flight = std::any_of(m.attempts.begin(), m.attempts.end(),
                                        [](const auto& e) { return e.second->in_flight > 0; });
     if (in_flight) continue;
     // Until a worker has shown this warrant, the former leader may have answered it last.
     const bool ours = m.heard >= 0 && m.token >= election_.warrant();
     // A worker that ended and was back at once began a lease of its own; what it was told to start
     // since may run for as long.
-    if (now - std::max(m.heard, m.obeyed) > bound && (ours || now - began_ > unheard))
+    if (now - std::max(m.heard, m.last_command_ack_at) > bound && (ours || now - began_ > unheard))
       expired.push_back(&m);
   }
   for (Machine* m : expired) machine_gone(*m);
@@ -569,14 +570,14 @@
         now - job->held_since > net::ms(operator_.hold_timeout_s)) {
       job->held.clear();
       job->whole_only = true;
-      kick();
+      request_pass();
     }
     for (const auto& [task, name] : job->held) kept.insert(name);
   }
   drain_noticed();
   if (spdlog::should_log(spdlog::level::debug)) log_use();
   fleet_.tick(kept);
-  kick();
+  request_pass();
 }
 
 // By machine type: what is paid for, and what it is used for.
@@ -589,9 +590,9 @@
     Use& u = by_type[m.type];
     ++(m.up ? u.up : u.booting);
     if (!m.up) continue;
-    if (m.charges.empty()) ++u.idle;
+    if (m.attempts.empty()) ++u.idle;
     if (m.draining || m.deleting || m.taken_at) ++u.closed;
-    for (const auto& [key, c] : m.charges)
+    for (const auto& [key, c] : m.attempts)
       ++(c->state == TaskState::running   ? u.running
          : c->state == TaskState::waiting ? u.waiting
                                           : u.starting);
@@ -605,11 +606,11 @@
 // Before the cloud takes a spot machine, what can save is told to.
 void Controller::drain_noticed() {
   const Ms now = runtime_.now();
-  std::vector<Charge*> singles;
+  std::vector<TaskAttempt*> singles;
   std::map<std::string, JobRecord*> gangs;
   for (auto& [name, m] : fleet_.machines()) {
     if (!m.taken_at) continue;
-    for (const auto& [key, c] : m.charges) {
+    for (const auto& [key, c] : m.attempts) {
       const wire::Job& spec = c->job->spec;
       if (c->stop || !c->sent || spec.checkpoint_s <= 0) continue;
       const double margin = spec.save_s + settings_.gang_peer_s + settings_.report_s;
--- a/src/leader/ledger.cc
+++ b/src/leader/record_store.cc
@@ -1,4 +1,4 @@
-#include "leader/ledger.h"
+#include "leader/record_store.h"
 
 #include <algorithm>
 
@@ -20,21 +20,21 @@
   return "work/" + job + "/" + std::to_string(chunk);
 }
 
-Ledger::Ledger(net::Runtime& runtime, state::Client& state, int txn_ops, Hooks hooks)
+RecordStore::RecordStore(net::Runtime& runtime, state::Client& state, int txn_ops, Hooks hooks)
     : runtime_(runtime), state_(state), txn_ops_(txn_ops), hooks_(std::move(hooks)) {}
 
-void Ledger::begin(std::uint64_t warrant) {
+void RecordStore::begin(std::uint64_t warrant) {
   warrant_ = warrant;
   ++term_;
   jobs_.clear();
 }
 
-void Ledger::found(const std::string& job, std::uint32_t chunk, state::Version version) {
+void RecordStore::found(const std::string& job, std::uint32_t chunk, state::Version version) {
   jobs_[job].records[chunk].version = version;
 }
 
-void Ledger::changed(const std::string& job, std::uint32_t chunk, Urgency urgency,
-                     std::function<void()> durable) {
+void RecordStore::changed(const std::string& job, std::uint32_t chunk, Urgency urgency,
+                          std::function<void()> durable) {
   Record& r = jobs_[job].records[chunk];
   r.urgency = r.dirty ? std::min(r.urgency, urgency) : urgency;
   r.dirty = true;
@@ -42,20 +42,20 @@
   flush(job);
 }
 
-void Ledger::end(const std::string& job, state::Version open_version, wire::Stage stage,
-                 std::uint64_t done, std::function<void(wire::Stage)> durable) {
+void RecordStore::end(const std::string& job, state::Version open_version, wire::Stage stage,
+                      std::uint64_t done, std::function<void(wire::Stage)> durable) {
   jobs_[job].ending = Ending{open_version, stage, done, std::move(durable)};
   flush(job);
 }
 
-bool Ledger::settled(const std::string& job, std::uint32_t chunk) const {
+bool RecordStore::settled(const std::string& job, std::uint32_t chunk) const {
   const auto j = jobs_.find(job);
   if (j == jobs_.end()) return true;
   const auto r = j->second.records.find(chunk);
   return r == j->second.records.end() || (!r->second.dirty && !r->second.sending);
 }
 
-bool Ledger::settled(const std::string& job) const {
+bool RecordStore::settled(const std::string& job) const {
   const auto j = jobs_.find(job);
   if (j == jobs_.end()) return true;
   if (j->second.busy || j->second.ending) return false;
@@ -64,12 +64,12 @@
   });
 }
 
-bool Ledger::in_doubt(const std::string& job) const {
+bool RecordStore::outcome_unknown(const std::string& job) const {
   const auto j = jobs_.find(job);
   return j != jobs_.end() && j->second.doubt && !j->second.ended;
 }
 
-std::vector<std::uint32_t> Ledger::chunks(const std::string& job) const {
+std::vector<std::uint32_t> RecordStore::chunks(const std::string& job) const {
   std::vector<std::uint32_t> list;
   const auto j = jobs_.find(job);
   if (j != jobs_.end())
@@ -78,14 +78,14 @@
   return list;
 }
 
-void Ledger::later(const std::string& job) {
+void RecordStore::later(const std::string& job) {
   const std::uint64_t term = term_;
   runtime_.after(kRetry, [this, term, job] {
     if (term == term_) flush(job);
   });
 }
 
-void Ledger::flush(const std::string& job) {
+void RecordStore::flush(const std::string& job) {
   const auto it = jobs_.find(job);
   if (it == jobs_.end() || it->second.busy || warrant_ == 0) return;
   Entry& e = it->second;
@@ -174,8 +174,9 @@
              });
 }
 
-void Ledger::applied(const std::string& job, const std::vector<std::uint32_t>& chunks,
-                     const std::vector<bool>& present, state::Version version, bool with_verdict) {
+void RecordStore::applied(const std::string& job, const std::vector<std::uint32_t>& chunks,
+                          const std::vector<bool>& present, state::Version version,
+                          bool with_verdict) {
   Entry& e = jobs_.at(job);
   e.busy = false;
   std::vector<std::function<void()>> ready;
@@ -204,7 +205,8 @@
 }
 
 // Not known, or a version that is not what we thought: read what is there, then go on from it.
-void Ledger::read_back(const std::string& job, std::vector<std::uint32_t> chunks, bool verdict) {
+void RecordStore::read_back(const std::string& job, std::vector<std::uint32_t> chunks,
+                            bool verdict) {
   const std::uint64_t term = term_;
   if (verdict) {
     state_.get(ends_key(job), [this, term, job, chunks](const state::GetResult& g) {
--- a/src/leader/ledger.h
+++ b/src/leader/record_store.h
@@ -21,7 +21,7 @@
 std::string ends_key(const std::string& job);
 std::string work_key(const std::string& job, std::uint32_t chunk);
 
-class Ledger {
+class RecordStore {
  public:
   // What a record should hold now; none: it should not exist.
   using Render = std::function<std::optional<wire::Json>(const std::string& job, std::uint32_t)>;
@@ -29,11 +29,11 @@
   struct Hooks {
     Render render;
     std::function<void()> fenced;  // another leads
-    // A verdict that this ledger did not write was found.
+    // A verdict that this store did not write was found.
     std::function<void(const std::string& job, wire::Stage)> ended;
   };
 
-  Ledger(net::Runtime& runtime, state::Client& state, int txn_ops, Hooks hooks);
+  RecordStore(net::Runtime& runtime, state::Client& state, int txn_ops, Hooks hooks);
 
   // Starts a term; everything of the one before is forgotten.
   void begin(std::uint64_t warrant);
@@ -50,7 +50,7 @@
            std::uint64_t done, std::function<void(wire::Stage)> durable);
 
   // A verdict of this job may be in the store, or may come to be, and is not known here yet.
-  bool in_doubt(const std::string& job) const;
+  bool outcome_unknown(const std::string& job) const;
   // Nothing of this record waits or is on its way.
   bool settled(const std::string& job, std::uint32_t chunk) const;
   bool settled(const std::string& job) const;
--- a/src/leader/recovery.cc
+++ b/src/leader/recovery.cc
@@ -41,19 +41,19 @@
     for (const std::string& id : ids) {
       JobRecord& job = *jobs_.at(id);
       if (job.ended) {
-        for (auto& [task, c] : job.charges) c.stop = true;
-        tidy(id);
+        for (auto& [task, c] : job.attempts) c.stop = true;
+        erase_if_settled(id);
       } else {
         // Half an attempt in the records: the former leader did not get to start it all.
-        if (job.gang() && !job.charges.empty() &&
-            job.charges.size() + job.finished_count < job.spec.tasks)
+        if (job.gang() && !job.attempts.empty() &&
+            job.attempts.size() + job.finished_count < job.spec.tasks)
           lost_attempt(job);
         maybe_done(job);
       }
     }
     spdlog::info("recovered {} jobs", jobs_.size());
     watch();
-    kick();
+    request_pass();
   });
 }
 
@@ -81,7 +81,7 @@
       it = jobs_.emplace(id, std::move(job)).first;
     }
     JobRecord& job = *it->second;
-    ledger_.found(id, chunk, item.version);
+    records_.found(id, chunk, item.version);
     job.last_attempt = std::max(job.last_attempt, wire::count_field(v, "attempt"));
     const std::string bits = v.value("finished", "");
     const std::uint32_t base = chunk * chunk_tasks_;
@@ -96,9 +96,10 @@
     }
     for (const Json& t : v.at("tasks")) {
       const auto task = t.at(0).get<std::uint32_t>();
-      if (task >= job.spec.tasks || job.charges.contains(task)) continue;
-      Charge& c = charge(job, task, t.at(1).get<std::uint64_t>(),
-                         fleet_.ensure(t.at(2).get<std::string>()), t.at(3).get<std::uint64_t>());
+      if (task >= job.spec.tasks || job.attempts.contains(task)) continue;
+      TaskAttempt& c =
+          add_attempt(job, task, t.at(1).get<std::uint64_t>(),
+                      fleet_.ensure(t.at(2).get<std::string>()), t.at(3).get<std::uint64_t>());
       c.durable = c.sent = true;
     }
   } catch (const std::exception& e) {
--- a/src/leader/reports.cc
+++ b/src/leader/reports.cc
@@ -1,4 +1,5 @@
-// The Controller's charges: what is on which machine, what its worker reports, and what it is told.
+// The Controller's attempts: what is on which machine, what its worker reports, and what it is
+// told.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -18,35 +19,33 @@
 // Attempts on one machine that can't be forgotten, since their starts may come once more: they make
 // its reports longer.
 constexpr std::size_t kMostLeft = 8;
-// For so long a worker may take the answer to a check-in (by the protocol).
-constexpr Ms kAnswerLife = 4000;
 // A machine on which so many jobs failed that do not fail elsewhere is returned.
 constexpr std::size_t kMostFailed = 3;
 }  // namespace
 
-Charge& Controller::charge(JobRecord& job, std::uint32_t task, std::uint64_t attempt,
-                           Machine& machine, std::uint64_t session) {
-  Charge& c = job.charges[task];
+TaskAttempt& Controller::add_attempt(JobRecord& job, std::uint32_t task, std::uint64_t attempt,
+                                     Machine& machine, std::uint64_t session) {
+  TaskAttempt& c = job.attempts[task];
   c.job = &job;
   c.task = task;
   c.attempt = attempt;
   c.machine = &machine;
   c.session = session;
   job.taken[task] = true;
-  machine.charges[{job.spec.id, task}] = &c;
+  machine.attempts[{job.spec.id, task}] = &c;
   team_use_[job.spec.team] += need_of(job.spec);
   machine.stale = true;
   return c;
 }
 
-Charge* Controller::find_charge(const std::string& job, std::uint32_t task) {
+TaskAttempt* Controller::find_attempt(const std::string& job, std::uint32_t task) {
   const auto j = jobs_.find(job);
   if (j == jobs_.end()) return nullptr;
-  const auto c = j->second->charges.find(task);
-  return c == j->second->charges.end() ? nullptr : &c->second;
+  const auto c = j->second->attempts.find(task);
+  return c == j->second->attempts.end() ? nullptr : &c->second;
 }
 
-void Controller::set_state(Charge& c, TaskState state) {
+void Controller::set_state(TaskAttempt& c, TaskState state) {
   if (c.state == state) return;
   if (c.state == TaskState::running) --c.job->running;
   c.state = state;
@@ -57,30 +56,30 @@
   if (c.job->running == c.job->spec.tasks) spdlog::debug("all of {} run", c.job->spec.id);
 }
 
-void Controller::release(Charge& c) {
+void Controller::release(TaskAttempt& c) {
   JobRecord& job = *c.job;
   const std::uint32_t task = c.task;
   set_state(c, TaskState::exited);
-  c.machine->charges.erase({job.spec.id, task});
+  c.machine->attempts.erase({job.spec.id, task});
   c.machine->idle_since = runtime_.now();
   c.machine->stale = true;
   team_use_[job.spec.team] -= need_of(job.spec);
-  job.charges.erase(task);
+  job.attempts.erase(task);
   if (!job.ended) job.taken[task] = job.finished[task];
   job.hint = std::min(job.hint, task);
   const std::string id = job.spec.id;
-  ledger_.changed(id, chunk_of(task), Urgency::progress);
-  tidy(id);
-  kick();
+  records_.changed(id, chunk_of(task), Urgency::progress);
+  erase_if_settled(id);
+  request_pass();
 }
 
 // A gang's attempt is over for all its tasks once it is for one.
 void Controller::lost_attempt(JobRecord& job) {
-  if (!job.gang() || job.ended || job.charges.empty()) return;
+  if (!job.gang() || job.ended || job.attempts.empty()) return;
   stop_all(job, 0);
 }
 
-void Controller::stop_charge(Charge& c, double grace_s) {
+void Controller::stop_attempt(TaskAttempt& c, double grace_s) {
   if (c.stop) return;
   c.stop = true;
   c.machine->stale = true;
@@ -89,38 +88,38 @@
 }
 
 // Long enough to save, and for the order to arrive.
-void Controller::stop_to_save(Charge& c) {
-  stop_charge(c, c.job->spec.save_s + settings_.report_s / 3);
+void Controller::stop_to_save(TaskAttempt& c) {
+  stop_attempt(c, c.job->spec.save_s + settings_.report_s / 3);
 }
 
 // `again`: also what was told to stop before, with this grace now.
 void Controller::stop_all(JobRecord& job, double grace_s, bool again) {
-  std::vector<Charge*> fresh;
-  std::vector<Charge*> unsent;
-  for (auto& [task, c] : job.charges) {
+  std::vector<TaskAttempt*> fresh;
+  std::vector<TaskAttempt*> unsent;
+  for (auto& [task, c] : job.attempts) {
     if (c.stop && !again) continue;
-    stop_charge(c, grace_s);
+    stop_attempt(c, grace_s);
     c.grace_s = grace_s;
     (c.sent ? fresh : unsent).push_back(&c);
   }
   send_stops(fresh);
   // Never told to any worker: off already.
-  for (Charge* c : unsent) release(*c);
+  for (TaskAttempt* c : unsent) release(*c);
 }
 
-void Controller::send_stops(const std::vector<Charge*>& charges) {
+void Controller::send_stops(const std::vector<TaskAttempt*>& attempts) {
   std::map<Machine*, std::vector<wire::Command>, ByName> by_machine;
-  for (Charge* c : charges)
+  for (TaskAttempt* c : attempts)
     by_machine[c->machine].push_back(
         {Verb::stop, c->job->spec.id, c->task, c->attempt, c->grace_s});
   for (const auto& [machine, commands] : by_machine) send(*machine, commands);
 }
 
 void Controller::machine_gone(Machine& machine) {
-  std::vector<Charge*> list;
-  for (const auto& [key, c] : machine.charges) list.push_back(c);
+  std::vector<TaskAttempt*> list;
+  for (const auto& [key, c] : machine.attempts) list.push_back(c);
   std::set<std::string> gangs;
-  for (Charge* c : list) {
+  for (TaskAttempt* c : list) {
     if (c->job->gang()) gangs.insert(c->job->spec.id);
     release(*c);
   }
@@ -130,11 +129,11 @@
   }
 }
 
-// Its place in the picture is free for another.
+// Its place in the snapshot is free for another.
 void Controller::forget_machine(Machine& machine) {
   machine_gone(machine);
   if (machine.slot == Machine::kNoSlot) return;
-  picture_.machines[machine.slot] = {};
+  snapshot_.machines[machine.slot] = {};
   free_slots_.push_back(machine.slot);
 }
 
@@ -160,10 +159,10 @@
     // with more sessions than this one: so it is answered, to be heard, and proves nothing.
     // A worker keeps the highest warrant that it has seen; one that shows less than before is a
     // copy, or has begun anew, and what it had is given up like that of any silent machine.
-    if (report.token < m.token || checkin == m.early) return {503, "{}"};
-    m.early = checkin;
+    if (report.token < m.token || checkin == m.last_unconfirmed_heartbeat) return {503, "{}"};
+    m.last_unconfirmed_heartbeat = checkin;
     m.heard = runtime_.now();
-    if (m.met < 0) m.met = runtime_.now();
+    if (m.first_heartbeat_at < 0) m.first_heartbeat_at = runtime_.now();
     return {200, wire::checkin_answer(election_.warrant(), {})};
   }
   if (report.session < m.session) return {503, "{}"};
@@ -173,7 +172,7 @@
   if (checkin <= m.checkin) return {503, "{}"};
   m.heard = runtime_.now();
   m.checkin = checkin;
-  if (m.met < 0) m.met = runtime_.now();
+  if (m.first_heartbeat_at < 0) m.first_heartbeat_at = runtime_.now();
   // (The answer to a command may have overtaken it.)
   const bool newer = report.session > m.session || report.seq > m.seq;
   if (!loaded_ || !newer) return {200, wire::checkin_answer(election_.warrant(), {})};
@@ -192,42 +191,42 @@
   if (!m.up) {  // it lives now, and hears us
     m.up = true;
     m.idle_since = runtime_.now();
-    kick();
+    request_pass();
   }
   if (report.notice_s) {
     m.taken_at = runtime_.now() + net::ms(*report.notice_s);
   } else {
     m.taken_at.reset();
   }
-  std::vector<Charge*> absent;
+  std::vector<TaskAttempt*> absent;
   std::set<std::pair<std::string, std::uint32_t>> present;
-  std::vector<std::pair<Charge*, wire::TaskReport>> exits;
-  m.strangers = 0;
+  std::vector<std::pair<TaskAttempt*, wire::TaskReport>> exits;
+  m.unknown_tasks = 0;
   m.exited.clear();
   for (const wire::TaskReport& t : report.tasks) {
     if (t.state == TaskState::exited) m.exited.insert({t.job, t.index, t.attempt});
-    const auto it = m.charges.find({t.job, t.index});
-    Charge* c = it == m.charges.end() ? nullptr : it->second;
+    const auto it = m.attempts.find({t.job, t.index});
+    TaskAttempt* c = it == m.attempts.end() ? nullptr : it->second;
     if (c && c->attempt != t.attempt) c = nullptr;
     if (!c && t.state != TaskState::exited) {
       // Nothing should be here. If the job is open and the task free, it is charged again, so that
       // it is started nowhere else; in any case the machine takes nothing until it is settled.
       const auto j = jobs_.find(t.job);
       if (j != jobs_.end() && t.index < j->second->spec.tasks &&
-          !j->second->charges.contains(t.index)) {
+          !j->second->attempts.contains(t.index)) {
         JobRecord& job = *j->second;
-        c = &charge(job, t.index, t.attempt, m, m.session);
+        c = &add_attempt(job, t.index, t.attempt, m, m.session);
         c->durable = c->sent = true;
         job.last_attempt = std::max(job.last_attempt, t.attempt);
-        ledger_.changed(t.job, chunk_of(t.index), Urgency::assignment);
-        if (job.ending || job.finished[t.index] || job.gang()) stop_charge(*c, 0);
+        records_.changed(t.job, chunk_of(t.index), Urgency::assignment);
+        if (job.ending || job.finished[t.index] || job.gang()) stop_attempt(*c, 0);
       } else {
-        ++m.strangers;
+        ++m.unknown_tasks;
       }
     }
     if (!c) continue;
     present.insert({t.job, t.index});
-    if (!c->seen) m.deaf_since.reset();
+    if (!c->seen) m.unresponsive_since.reset();
     c->seen = true;
     c->missing = false;
     const auto& image = c->job->spec.image;
@@ -239,7 +238,7 @@
     }
   }
   bool any_missing = false;
-  for (const auto& [key, c] : m.charges) {
+  for (const auto& [key, c] : m.attempts) {
     if (present.contains(key)) continue;
     // Its session is over, or the machine has begun anew with fewer; or it was there, and a
     // check-in lacks it.
@@ -256,83 +255,10 @@
     const auto it = jobs_.find(id);
     if (it != jobs_.end()) maybe_done(*it->second);
   }
-  if (m.draining && m.charges.empty() && !m.deleting) fleet_.remove(m);
+  if (m.draining && m.attempts.empty() && !m.deleting) fleet_.remove(m);
   if (any_missing) confirm_missing(m);
 }
 
-// A report that lacks a task proves nothing by itself: it may have been held up since before the
-// machine ended and was back, and its session and count may be above those of the machine's present
-// life, in which the task runs. (That a report has the attempt as ended does prove it: attempts are
-// numbered once.) So the machine is asked what is on it now, by a request whose answer can come
-// from nobody else.
-void Controller::confirm_missing(Machine& m) {
-  if (m.inspecting || m.deleting) return;
-  std::vector<AttemptName> asked;
-  for (const auto& [key, c] : m.charges) {
-    // A start that was never seen may be on its way, in the answer to a check-in; the worker takes
-    // no answer that is older than this.
-    const bool settled = c->seen || runtime_.now() - c->start_sent_at > kAnswerLife;
-    if (c->missing && c->in_flight == 0 && settled)
-      asked.emplace_back(key.first, key.second, c->attempt);
-  }
-  if (asked.empty()) return;
-  m.inspecting = true;
-  const std::uint64_t term = term_;
-  workers_.inspect(
-      m.addr, [this, term, name = m.name, asked](const std::optional<wire::WorkerReport>& report) {
-        Machine* machine = term == term_ ? fleet_.find(name) : nullptr;
-        if (!machine) return;
-        machine->inspecting = false;
-        if (!report || report->machine != name) return unanswered(*machine);
-        if (report->token > election_.warrant()) return election_.lost();
-        take_inspection(*machine, *report, asked);
-      });
-}
-
-void Controller::take_inspection(Machine& m, const wire::WorkerReport& report,
-                                 const std::vector<AttemptName>& asked) {
-  std::map<AttemptName, const wire::TaskReport*> there;
-  for (const wire::TaskReport& t : report.tasks) there[{t.job, t.index, t.attempt}] = &t;
-  std::vector<Charge*> gone;
-  std::vector<std::pair<AttemptName, wire::TaskReport>> exits;
-  for (const AttemptName& name : asked) {
-    const auto it = m.charges.find({std::get<0>(name), std::get<1>(name)});
-    if (it == m.charges.end() || it->second->attempt != std::get<2>(name)) continue;
-    Charge* c = it->second;
-    if (!c->missing || c->in_flight > 0) continue;
-    const auto found = there.find(name);
-    if (found == there.end()) {
-      gone.push_back(c);
-      continue;
-    }
-    c->missing = false;
-    c->seen = true;
-    if (found->second->state == TaskState::exited) exits.emplace_back(name, *found->second);
-  }
-  release_missing(gone);
-  for (const auto& [name, t] : exits) {
-    Charge* c = find_charge(t.job, t.index);
-    if (c && c->attempt == t.attempt && c->machine == &m) task_exited(*c, t);
-  }
-}
-
-void Controller::release_missing(const std::vector<Charge*>& missing) {
-  std::set<std::string> jobs;
-  for (Charge* c : missing) {
-    jobs.insert(c->job->spec.id);
-    spdlog::debug("{}/{} try {} is not on {} any more", c->job->spec.id, c->task, c->attempt,
-                  c->machine->name);
-    release(*c);
-  }
-  for (const std::string& id : jobs) {
-    const auto it = jobs_.find(id);
-    if (it == jobs_.end()) continue;
-    lost_attempt(*it->second);
-    const auto again = jobs_.find(id);
-    if (again != jobs_.end()) maybe_done(*again->second);
-  }
-}
-
 // A late copy of a start finds the attempt for as long as the worker knows it, and does nothing.
 // Once it is forgotten the copy would start it again: an attempt that ended without a result while
 // another runs elsewhere, and any of a cancelled job. (One that is done would only say so again,
@@ -342,13 +268,13 @@
   if (t.cause != ExitCause::done) return false;
   const auto j = jobs_.find(t.job);
   if (j != jobs_.end() && !j->second->ended) return false;
-  const auto verdict = archive_.verdict(t.job);
+  const auto verdict = status_reader_.verdict(t.job);
   return verdict && verdict->stage == wire::Stage::done;
 }
 
 // The machine is the likelier culprit, unless the job fails elsewhere as well, with nothing of it
 // done in between: then nothing is held against any machine that it failed on.
-void Controller::blame(JobRecord& job, Machine& m) {
+void Controller::record_failure(JobRecord& job, Machine& m) {
   job.failed_on.insert(m.name);
   if (job.broken()) {
     for (const std::string& name : job.failed_on) {
@@ -363,7 +289,7 @@
   if (m.failed_jobs.size() >= kMostFailed) m.draining = true;
 }
 
-void Controller::task_exited(Charge& c, const wire::TaskReport& t) {
+void Controller::task_exited(TaskAttempt& c, const wire::TaskReport& t) {
   JobRecord& job = *c.job;
   Machine& m = *c.machine;
   const Ms now = runtime_.now();
@@ -392,7 +318,7 @@
   switch (t.cause) {
     case ExitCause::error:
       ++job.failures;
-      blame(job, m);
+      record_failure(job, m);
       job.retry_at =
           now + std::min(report * (1 << std::min(job.failures, 5)), net::ms(settings_.lease_s));
       break;
@@ -407,7 +333,7 @@
       break;
   }
   const std::string id = job.spec.id;
-  if (m.started.contains({id, c.task, c.attempt})) job.leftovers.insert({c.task, m.name});
+  if (m.started.contains({id, c.task, c.attempt})) job.unreaped_attempts.insert({c.task, m.name});
   release(c);
   const auto it = jobs_.find(id);
   if (gang && it != jobs_.end()) lost_attempt(*it->second);
@@ -418,12 +344,12 @@
   std::set<std::pair<std::string, std::uint32_t>> present;
   const Ms now = runtime_.now();
   for (const wire::TaskReport& t : report.tasks) {
-    const auto it = m.charges.find({t.job, t.index});
-    const Charge* c =
-        it == m.charges.end() || it->second->attempt != t.attempt ? nullptr : it->second;
+    const auto it = m.attempts.find({t.job, t.index});
+    const TaskAttempt* c =
+        it == m.attempts.end() || it->second->attempt != t.attempt ? nullptr : it->second;
     if (t.state == TaskState::exited) {
       // Forgotten only after the record of its end is durable.
-      if (!c && ledger_.settled(t.job, chunk_of(t.index)) && may_forget(m, t)) {
+      if (!c && records_.settled(t.job, chunk_of(t.index)) && may_forget(m, t)) {
         m.started.erase({t.job, t.index, t.attempt});
         orders.push_back({Verb::forget, t.job, t.index, t.attempt, 0});
       }
@@ -440,7 +366,7 @@
     }
   }
   if (!election_.holds()) return orders;
-  for (const auto& [key, c] : m.charges) {
+  for (const auto& [key, c] : m.attempts) {
     if (present.contains(key) || !c->durable || c->in_flight > 0 || c->seen) continue;
     if (c->session != m.session) continue;
     if (c->stop) {
@@ -471,14 +397,14 @@
   m.started.insert(starts.begin(), starts.end());
   // A worker that began anew just now runs what it is told until its own lease is over, whether its
   // answer comes or not.
-  if (!starts.empty()) m.obeyed = runtime_.now();
+  if (!starts.empty()) m.last_command_ack_at = runtime_.now();
   workers_.send(
       m.addr, election_.warrant(), session, commands,
       [this, term, name, starts](workers::Sent sent,
                                  const std::optional<wire::WorkerReport>& report) {
         if (term != term_) return;
         for (const auto& [id, task, attempt] : starts) {
-          Charge* c = find_charge(id, task);
+          TaskAttempt* c = find_attempt(id, task);
           if (c && c->attempt == attempt) --c->in_flight;
         }
         Machine* machine = fleet_.find(name);
@@ -487,11 +413,11 @@
         if (sent == workers::Sent::not_sent || sent == workers::Sent::rejected)
           for (const AttemptName& s : starts) machine->started.erase(s);
         if (sent == workers::Sent::executed || (sent == workers::Sent::unknown && !starts.empty()))
-          machine->obeyed = runtime_.now();
+          machine->last_command_ack_at = runtime_.now();
         if (sent == workers::Sent::unknown || sent == workers::Sent::not_sent)
           unanswered(*machine);
         else
-          machine->deaf_since.reset();
+          machine->unresponsive_since.reset();
         if (!report || report->machine != name) return;
         if (report->token > election_.warrant()) return election_.lost();
         take_report(*machine, *report, false);
@@ -504,10 +430,10 @@
   const Ms now = runtime_.now();
   const Ms pause = net::ms(settings_.lease_s) / 2;
   m.suspect_until = std::max(m.suspect_until, now + pause);
-  if (!m.deaf_since) m.deaf_since = now;
-  if (now - *m.deaf_since < pause || m.deleting) return;
+  if (!m.unresponsive_since) m.unresponsive_since = now;
+  if (now - *m.unresponsive_since < pause || m.deleting) return;
   m.draining = true;
-  const bool idle = std::none_of(m.charges.begin(), m.charges.end(), [](const auto& entry) {
+  const bool idle = std::none_of(m.attempts.begin(), m.attempts.end(), [](const auto& entry) {
     return entry.second->seen && !entry.second->missing;
   });
   if (idle) fleet_.remove(m);
@@ -518,11 +444,11 @@
   const auto j = jobs_.find(id);
   if (j == jobs_.end()) return;
   std::map<Machine*, std::vector<wire::Command>, ByName> by_machine;
-  std::vector<Charge*> off;
+  std::vector<TaskAttempt*> off;
   for (const auto& [task, attempt] : tasks) {
-    const auto it = j->second->charges.find(task);
-    if (it == j->second->charges.end() || it->second.attempt != attempt) continue;
-    Charge& c = it->second;
+    const auto it = j->second->attempts.find(task);
+    if (it == j->second->attempts.end() || it->second.attempt != attempt) continue;
+    TaskAttempt& c = it->second;
     c.durable = true;
     if (c.stop || c.sent || j->second->ending || !election_.holds()) continue;
     // Each start that goes there by itself leaves an attempt that can't be forgotten for long.
@@ -547,7 +473,7 @@
   }
   for (const auto& [machine, commands] : by_machine) send(*machine, commands);
   const bool gang = j->second->gang();
-  for (Charge* c : off) release(*c);
+  for (TaskAttempt* c : off) release(*c);
   const auto again = jobs_.find(id);
   if (gang && !off.empty() && again != jobs_.end()) lost_attempt(*again->second);
 }
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -5,7 +5,7 @@
 #include <tuple>
 #include <utility>
 
-#include "sched/picture.h"
+#include "sched/snapshot.h"
 
 namespace seampass::sched {
 namespace {
@@ -37,7 +37,7 @@
 
 class Pass {
  public:
-  explicit Pass(Picture& p) : p_(p) {
+  explicit Pass(ClusterSnapshot& p) : p_(p) {
     std::map<std::tuple<std::string_view, std::string_view, bool>, std::size_t> index;
     for (std::size_t i = 0; i < p_.machines.size(); ++i) {
       const MachineView& m = p_.machines[i];
@@ -292,7 +292,7 @@
     }
   }
 
-  Picture& p_;
+  ClusterSnapshot& p_;
   std::vector<Pool> pools_;
   Decisions out_;
 };
@@ -357,6 +357,6 @@
   return static_cast<std::uint32_t>(std::floor(n));
 }
 
-Decisions pass(Picture& picture) { return Pass(picture).run(); }
+Decisions pass(ClusterSnapshot& snapshot) { return Pass(snapshot).run(); }
 
 }  // namespace seampass::sched
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -4,14 +4,14 @@
 #include <limits>
 #include <tuple>
 
-#include "sched/picture.h"
+#include "sched/snapshot.h"
 
 namespace seampass::sched {
 namespace {
 
 class Planner {
  public:
-  Planner(const Picture& p, const std::vector<RentalOption>& options)
+  Planner(const ClusterSnapshot& p, const std::vector<RentalOption>& options)
       : p_(p), teams_(p.teams), options_(options), counts_(options.size(), 0) {
     for (std::size_t i = 0; i < p.machines.size(); ++i) add(p.machines[i], i);
     for (const MachineView& m : p.asked) add(m, p.machines.size());
@@ -51,7 +51,7 @@
   static Need coming(const JobView& job, const Room& r) {
     Need n = r.free;
     for (const auto& [in_s, need] : r.m->releases)
-      if (in_s <= job.patience_s) n += need;
+      if (in_s <= job.wait_budget_s) n += need;
     return n;
   }
 
@@ -190,7 +190,7 @@
     }
   }
 
-  const Picture& p_;
+  const ClusterSnapshot& p_;
   std::map<std::string, TeamView> teams_;
   const std::vector<RentalOption>& options_;
   std::vector<int> counts_;
@@ -203,12 +203,12 @@
 
 }  // namespace
 
-MachinePlan plan_machines(const Picture& picture, const std::vector<RentalOption>& options,
+MachinePlan plan_machines(const ClusterSnapshot& snapshot, const std::vector<RentalOption>& options,
                           const std::vector<Spare>& spares) {
-  return Planner(picture, options).run(spares);
+  return Planner(snapshot, options).run(spares);
 }
 
-std::vector<std::size_t> emptied(const Picture& p, double restart_s, double worth,
+std::vector<std::size_t> emptied(const ClusterSnapshot& p, double restart_s, double worth,
                                  std::size_t most) {
   std::vector<std::size_t> result;
   for (const JobView& j : p.jobs)
--- a/src/sched/picture.h
+++ b/src/sched/snapshot.h
@@ -1,5 +1,5 @@
 // The scheduler's input and output. Pure: no clock, no I/O, no randomness; whoever builds a
-// Picture has already turned times into plain numbers.
+// ClusterSnapshot has already turned times into plain numbers.
 #pragma once
 
 #include <algorithm>
@@ -76,7 +76,7 @@
 
 struct Placement {
   std::uint32_t task = 0;
-  std::size_t machine = 0;  // index into Picture::machines
+  std::size_t machine = 0;  // index into ClusterSnapshot::machines
 };
 
 struct JobView {
@@ -95,7 +95,7 @@
   // It fits into its team's guarantee together with the team's earlier unfinished jobs.
   bool guaranteed = false;
   // For how many seconds its start may wait for room that is in use, rather than new machines.
-  double patience_s = 0;
+  double wait_budget_s = 0;
   std::uint32_t tasks = 0;
   std::vector<std::uint32_t> pending;           // tasks to place, lowest first; may be cut short
   std::map<std::string, std::uint32_t> placed;  // by zone: tasks still charged, any attempt
@@ -122,7 +122,7 @@
 
 enum class MachineChoice { first_fit, scored };
 
-struct Picture {
+struct ClusterSnapshot {
   std::vector<MachineView> machines;
   std::vector<JobView> jobs;
   std::vector<MachineView> asked;  // rentals not answered yet: nameless, booting
@@ -131,7 +131,7 @@
 };
 
 struct Batch {
-  std::size_t job = 0;  // index into Picture::jobs
+  std::size_t job = 0;  // index into ClusterSnapshot::jobs
   std::vector<Placement> tasks;
 };
 
@@ -153,9 +153,9 @@
 // Filter: may a task of this job ever be on this machine, room aside?
 bool allowed(const JobView& job, const std::string& type, const std::string& zone, bool spot);
 
-// One scheduling pass. The picture is left as it is after the decisions: room and team use taken,
+// One scheduling pass. The snapshot is left as it is after the decisions: room and team use taken,
 // placed tasks no longer pending.
-Decisions pass(Picture& picture);
+Decisions pass(ClusterSnapshot& snapshot);
 
 struct RentalOption {
   std::string type, zone;
@@ -183,14 +183,14 @@
 
 // Which machines to rent for what a pass left pending, after room that is booting is counted, and
 // which to rent or keep for what is expected.
-MachinePlan plan_machines(const Picture& picture, const std::vector<RentalOption>& options,
+MachinePlan plan_machines(const ClusterSnapshot& snapshot, const std::vector<RentalOption>& options,
                           const std::vector<Spare>& spares);
 
 // Machines whose few tasks have room on fuller machines of their type, with their image: once
 // moved, the machine can be returned. Only where nothing waits, and what is left to run is worth
 // the stop: `worth` times what saving and starting again takes, `restart_s` beside the save. At
 // most `most`.
-std::vector<std::size_t> emptied(const Picture& picture, double restart_s, double worth,
+std::vector<std::size_t> emptied(const ClusterSnapshot& snapshot, double restart_s, double worth,
                                  std::size_t most);
 
 }  // namespace seampass::sched
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -230,7 +230,7 @@
     std::advance(it, static_cast<long>(pick(static_cast<unsigned>(w.cloud.machines.size()))));
     return it;
   };
-  const auto call_off = [&](const std::string& id) {
+  const auto cancel_job = [&](const std::string& id) {
     called_off.insert(id);
     w.cancel_soon("n" + std::to_string(pick(3)), id);
   };
@@ -280,7 +280,7 @@
         // The store refuses the leader, then everybody, while users call jobs off.
         refused = w.leader();
         for (int i = 0; i < 3 && !accepted.empty(); ++i)
-          call_off(accepted[pick(static_cast<unsigned>(accepted.size()))]);
+          cancel_job(accepted[pick(static_cast<unsigned>(accepted.size()))]);
         w.time.run_for(static_cast<Ms>(pick(3000)));
         w.state.down = true;
         break;
@@ -289,14 +289,14 @@
         for (int i = 0; i < 3 && !w.cloud.machines.empty(); ++i)
           if (machine()->second) machine()->second->hang(static_cast<Ms>(pick(30000)));
         for (int i = 0; i < 3 && !accepted.empty(); ++i)
-          call_off(accepted[pick(static_cast<unsigned>(accepted.size()))]);
+          cancel_job(accepted[pick(static_cast<unsigned>(accepted.size()))]);
         break;
       case 9:
         // At the moment of the last task's end.
         if (!accepted.empty()) {
           const std::string one = accepted[pick(static_cast<unsigned>(accepted.size()))];
           for (int i = 0; i < 300 && w.left(one) > 0; ++i) w.time.run_for(50);
-          call_off(one);
+          cancel_job(one);
           w.poll(node, one);
           w.submit(node, w.judge.jobs[one].spec);
         }
--- a/tests/model/plain_scheduler.h
+++ b/tests/model/plain_scheduler.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "sched/picture.h"
+#include "sched/snapshot.h"
 
 namespace seampass::model {
 
@@ -24,7 +24,7 @@
 
 class PlainScheduler {
  public:
-  explicit PlainScheduler(const sched::Picture& p) : p_(p) {}
+  explicit PlainScheduler(const sched::ClusterSnapshot& p) : p_(p) {}
 
   std::vector<Placed> run() {
     std::vector<std::size_t> queue;
@@ -148,7 +148,7 @@
     return true;
   }
 
-  const sched::Picture& p_;
+  const sched::ClusterSnapshot& p_;
   std::vector<Placed> out_;
 };
 
--- a/tests/ledger_test.cc
+++ b/tests/record_store_test.cc
@@ -1,4 +1,4 @@
-#include "leader/ledger.h"
+#include "leader/record_store.h"
 
 #include <gtest/gtest.h>
 
@@ -11,22 +11,22 @@
 
 using standins::Fate;
 
-class LedgerTest : public ::testing::Test {
+class RecordStoreTest : public ::testing::Test {
  protected:
-  LedgerTest()
+  RecordStoreTest()
       : net(time, 5),
         service(time),
         process(time),
         http(net, "n0", process.alive()),
         client(process, http, "state:1", 1000, 1000, 500),
-        ledger(
+        records(
             process, client, 10,
             {[this](const std::string&, std::uint32_t) { return value; }, [this] { fenced = true; },
              [this](const std::string&, wire::Stage) { ended_elsewhere = true; }}) {
     net.serve("state:1",
               [this](const net::Request& r, net::Answer a) { service.handle(r, std::move(a)); });
     put(Election::kKey, {{"node", "n0"}});
-    ledger.begin(revision);
+    records.begin(revision);
   }
   void put(const std::string& key, const wire::Json& v) {
     state::Txn t;
@@ -50,63 +50,63 @@
   state::Client client;
   std::optional<wire::Json> value = wire::Json{{"n", 1}};
   bool fenced = false, ended_elsewhere = false;
-  Ledger ledger;
+  RecordStore records;
   state::Version revision = 0;
 };
 
-TEST_F(LedgerTest, LostAnswerIsReadBackAndReportedOnce) {
+TEST_F(RecordStoreTest, LostAnswerIsReadBackAndReportedOnce) {
   int lost = 0, durable = 0;
   net.set_rule([&](const std::string&, const net::Call& c) {
     Fate f;
     f.lose_answer = c.path == "/txn" && lost++ == 0;
     return f;
   });
-  ledger.changed("wk-1", 0, state::Urgency::assignment, [&] { ++durable; });
+  records.changed("wk-1", 0, state::Urgency::assignment, [&] { ++durable; });
   time.run_for(5000);
   EXPECT_EQ(durable, 1);
   EXPECT_EQ(stored("work/wk-1/0"), (wire::Json{{"n", 1}}));
-  EXPECT_TRUE(ledger.settled("wk-1", 0));
+  EXPECT_TRUE(records.settled("wk-1", 0));
 }
 
-TEST_F(LedgerTest, LateWriteCannotUndoANewerOne) {
+TEST_F(RecordStoreTest, LateWriteCannotUndoANewerOne) {
   int sent = 0, durable = 0;
   net.set_rule([&](const std::string&, const net::Call& c) {
     Fate f;
     if (c.path == "/txn" && sent++ == 0) f.late = 20000;
     return f;
   });
-  ledger.changed("wk-1", 0, state::Urgency::assignment, [&] { ++durable; });
+  records.changed("wk-1", 0, state::Urgency::assignment, [&] { ++durable; });
   time.run_for(1000);
   value = wire::Json{{"n", 2}};
-  ledger.changed("wk-1", 0, state::Urgency::progress, [&] { ++durable; });
+  records.changed("wk-1", 0, state::Urgency::progress, [&] { ++durable; });
   time.run_for(5000);
   EXPECT_EQ(durable, 2);
   time.run_for(30000);  // the first is applied now, or rather not
   EXPECT_EQ(stored("work/wk-1/0"), (wire::Json{{"n", 2}}));
 }
 
-TEST_F(LedgerTest, FormerLeaderWritesNothing) {
+TEST_F(RecordStoreTest, FormerLeaderWritesNothing) {
   put(Election::kKey, {{"node", "n1"}});
   bool durable = false;
-  ledger.changed("wk-1", 0, state::Urgency::assignment, [&] { durable = true; });
+  records.changed("wk-1", 0, state::Urgency::assignment, [&] { durable = true; });
   time.run_for(2000);
   EXPECT_TRUE(fenced);
   EXPECT_FALSE(durable);
   EXPECT_FALSE(service.has("work/wk-1/0"));
 }
 
-TEST_F(LedgerTest, FirstVerdictStands) {
+TEST_F(RecordStoreTest, FirstVerdictStands) {
   put("ends/wk-1", {{"stage", "withdrawn"}, {"done", 0}});
   wire::Stage stage = wire::Stage::queued;
-  ledger.end("wk-1", 3, wire::Stage::done, 2, [&](wire::Stage s) { stage = s; });
+  records.end("wk-1", 3, wire::Stage::done, 2, [&](wire::Stage s) { stage = s; });
   time.run_for(3000);
   EXPECT_EQ(stage, wire::Stage::cancelled);
 }
 
-TEST_F(LedgerTest, NoStartIsRecordedAfterAVerdict) {
+TEST_F(RecordStoreTest, NoStartIsRecordedAfterAVerdict) {
   put("ends/wk-1", {{"stage", "withdrawn"}, {"done", 0}});
   bool durable = false;
-  ledger.changed("wk-1", 0, state::Urgency::assignment, [&] { durable = true; });
+  records.changed("wk-1", 0, state::Urgency::assignment, [&] { durable = true; });
   time.run_for(150);
   EXPECT_FALSE(durable);
   EXPECT_TRUE(ended_elsewhere);
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -3,7 +3,7 @@
 #include <random>
 
 #include "model/plain_scheduler.h"
-#include "sched/picture.h"
+#include "sched/snapshot.h"
 
 namespace seampass::sched {
 namespace {
@@ -24,9 +24,9 @@
   return j;
 }
 
-Picture random_picture(std::mt19937& random, MachineChoice choice) {
+ClusterSnapshot random_picture(std::mt19937& random, MachineChoice choice) {
   const auto pick = [&](unsigned n) { return static_cast<unsigned>(random() % n); };
-  Picture p;
+  ClusterSnapshot p;
   p.choice = choice;
   for (const char* t : {"red", "blue"}) {
     TeamView& v = p.teams[t];
@@ -95,8 +95,8 @@
   std::mt19937 random(4711);
   int placed = 0, held = 0;
   for (int round = 0; round < 3000; ++round) {
-    Picture p = random_picture(random, MachineChoice::first_fit);
-    const Picture before = p;
+    ClusterSnapshot p = random_picture(random, MachineChoice::first_fit);
+    const ClusterSnapshot before = p;
     const Decisions d = pass(p);
     const std::vector<model::Placed> real = placements(d);
     ASSERT_EQ(real, model::PlainScheduler(before).run()) << "round " << round;
@@ -111,7 +111,7 @@
 TEST(Sched, LooksAtFewMachinesInALargeCluster) {
   std::mt19937 random(8);
   const auto pick = [&](unsigned n) { return static_cast<unsigned>(random() % n); };
-  Picture p;
+  ClusterSnapshot p;
   p.choice = MachineChoice::first_fit;
   p.teams["red"];
   for (int i = 0; i < 1300; ++i) {
@@ -135,7 +135,7 @@
     tasks += j.tasks;
     p.jobs.push_back(j);
   }
-  const Picture before = p;
+  const ClusterSnapshot before = p;
   const Decisions d = pass(p);
   const std::vector<model::Placed> real = placements(d);
   EXPECT_EQ(real, model::PlainScheduler(before).run());
@@ -149,8 +149,8 @@
 TEST(Sched, ScoredChoiceKeepsEveryLimit) {
   std::mt19937 random(99);
   for (int round = 0; round < 3000; ++round) {
-    Picture p = random_picture(random, MachineChoice::scored);
-    const Picture before = p;
+    ClusterSnapshot p = random_picture(random, MachineChoice::scored);
+    const ClusterSnapshot before = p;
     const Decisions d = pass(p);
     std::vector<Need> free;
     for (const auto& m : before.machines) free.push_back(m.free);
@@ -204,7 +204,7 @@
   const std::vector<RentalOption> options = {{"big", "a", false, 4, {16, 4, 64}},
                                              {"big", "b", true, 1.5, {16, 4, 64}},
                                              {"small", "a", false, 1, {4, 0, 16}}};
-  Picture p;
+  ClusterSnapshot p;
   p.jobs.push_back(waiting("wk-1", wire::JobKind::array, 6, {4, 1, 8}));
   auto wishes = plan_machines(p, options, {}).rentals;
   ASSERT_EQ(wishes.size(), 1u);
@@ -228,7 +228,7 @@
 TEST(Sched, RentsAGangsMachinesInOneZone) {
   const std::vector<RentalOption> options = {{"small", "a", false, 1, {4, 0, 16}},
                                              {"small", "b", true, 0.5, {4, 0, 16}}};
-  Picture p;
+  ClusterSnapshot p;
   p.jobs.push_back(waiting("wk-1", wire::JobKind::gang, 3, {4, 0, 8}));
   p.jobs[0].one_zone = true;
   p.jobs[0].spot = false;
@@ -239,7 +239,7 @@
 }
 
 TEST(Sched, ClearsRoomOnlyForUrgentWorkOfHigherPriority) {
-  Picture p;
+  ClusterSnapshot p;
   MachineView m;
   m.type = "big";
   m.zone = "a";
@@ -254,7 +254,7 @@
   JobView job = waiting("wk-1", wire::JobKind::gang, 1, {8, 0, 16});
   job.urgent = true;
   p.jobs = {job};
-  Picture same = p;
+  ClusterSnapshot same = p;
   EXPECT_TRUE(pass(same).evictions.empty());  // equal priority stops nothing
   p.jobs[0].priority = wire::Priority::high;
   same = p;
@@ -276,7 +276,7 @@
 }
 
 TEST(Sched, EmptiesMachinesOnlyWhereTheirTasksFitOnFullerOnes) {
-  Picture p;
+  ClusterSnapshot p;
   MachineView m;
   m.type = "big";
   m.zone = "a";
@@ -293,7 +293,7 @@
   }
   using Indices = std::vector<std::size_t>;
   EXPECT_EQ(emptied(p, 1, 3, 9), Indices{0});  // the one task goes to the machine of three
-  Picture other = p;
+  ClusterSnapshot other = p;
   other.machines[0].victims[0].left_s = 11;  // hardly longer than its stop and start
   EXPECT_EQ(emptied(other, 1, 3, 9), Indices{});
   other = p;
@@ -331,7 +331,7 @@
 
 TEST(Sched, KeepsSparesWithinTheirBudget) {
   const std::vector<RentalOption> options = {{"small", "a", false, 1, {4, 0, 16}}};
-  Picture p;
+  ClusterSnapshot p;
   MachineView m;
   m.type = "small";
   m.zone = "a";
