--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -129,21 +129,21 @@
   // Charges: reports.cc.
   TaskAttempt& add_attempt(JobRecord& job, std::uint32_t task, std::uint64_t attempt,
                            Machine& machine, std::uint64_t session);
-  void release(TaskAttempt& attempt);
+  void release(TaskAttempt& c);
   void lost_attempt(JobRecord& job);
   TaskAttempt* find_attempt(const std::string& job, std::uint32_t task);
-  void stop_attempt(TaskAttempt& attempt, double grace_s);
-  void stop_to_save(TaskAttempt& attempt);
+  void stop_attempt(TaskAttempt& c, double grace_s);
+  void stop_to_save(TaskAttempt& c);
   void stop_all(JobRecord& job, double grace_s, bool again = false);
   void send_stops(const std::vector<TaskAttempt*>& attempts);
-  void set_state(TaskAttempt& attempt, wire::TaskState state);
+  void set_state(TaskAttempt& c, wire::TaskState state);
   void machine_gone(Machine& machine);
   void forget_machine(Machine& machine);
 
   // Workers: reports.cc.
   void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
   void record_failure(JobRecord& job, Machine& machine);
-  void task_exited(TaskAttempt& attempt, const wire::TaskReport& task);
+  void task_exited(TaskAttempt& c, const wire::TaskReport& task);
 
   // What proves an attempt absent: absence.cc.
   void confirm_missing(Machine& machine);
