--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -37,10 +37,10 @@
 
 class Pass {
  public:
-  explicit Pass(ClusterSnapshot& p) : p_(p) {
+  explicit Pass(ClusterSnapshot& snapshot) : snapshot_(snapshot) {
     std::map<std::tuple<std::string_view, std::string_view, bool>, std::size_t> index;
-    for (std::size_t i = 0; i < p_.machines.size(); ++i) {
-      const MachineView& m = p_.machines[i];
+    for (std::size_t i = 0; i < snapshot_.machines.size(); ++i) {
+      const MachineView& m = snapshot_.machines[i];
       if (!m.open) continue;
       const auto [at, fresh] = index.try_emplace({m.type, m.zone, m.spot}, pools_.size());
       if (fresh) pools_.push_back({&m, {}, {}});
@@ -49,8 +49,8 @@
   }
 
   Decisions run() {
-    for (const std::size_t j : queue_order(p_.jobs)) {
-      JobView& job = p_.jobs[j];
+    for (const std::size_t j : queue_order(snapshot_.jobs)) {
+      JobView& job = snapshot_.jobs[j];
       if (job.blocked || job.pending.empty()) continue;
       if (job.kind == wire::JobKind::gang)
         place_gang(j);
@@ -67,8 +67,8 @@
   // that machines empty and can be returned.
   using Score = std::tuple<bool, bool, double, bool, double, double, std::size_t>;
   Score score(const JobView& job, std::size_t i) const {
-    const MachineView& m = p_.machines[i];
-    if (p_.choice == MachineChoice::first_fit) return {false, false, 0, false, 0, 0, i};
+    const MachineView& m = snapshot_.machines[i];
+    if (snapshot_.choice == MachineChoice::first_fit) return {false, false, 0, false, 0, 0, i};
     const bool wasted = job.need.gpus == 0 && m.total.gpus > 0;
     const bool cached = m.images.contains(job.image);
     const bool hurry = job.urgent || job.guaranteed;
@@ -87,7 +87,7 @@
         continue;
       bool room = false;
       for (const std::size_t i : pool.machines) {
-        const MachineView& m = p_.machines[i];
+        const MachineView& m = snapshot_.machines[i];
         ++out_.looked_at;
         if (!job.need.fits_in(m.free)) continue;
         room = true;
@@ -102,16 +102,16 @@
 
   // Reserve / unreserve.
   void take(const JobView& job, std::size_t machine) {
-    p_.machines[machine].free -= job.need;
-    TeamView& team = p_.teams[job.team];
+    snapshot_.machines[machine].free -= job.need;
+    TeamView& team = snapshot_.teams[job.team];
     team.cpus += job.need.cpus;
     team.gpus += job.need.gpus;
   }
 
   void undo(const JobView& job, const std::vector<Placement>& placements) {
-    TeamView& team = p_.teams[job.team];
+    TeamView& team = snapshot_.teams[job.team];
     for (const Placement& x : placements) {
-      p_.machines[x.machine].free += job.need;
+      snapshot_.machines[x.machine].free += job.need;
       team.cpus -= job.need.cpus;
       team.gpus -= job.need.gpus;
     }
@@ -151,11 +151,11 @@
     Zones placed = job.placed;
     std::vector<Placement> result;
     const std::size_t most =
-        std::min<std::size_t>(job.pending.size(), p_.teams[job.team].allows(job.need));
+        std::min<std::size_t>(job.pending.size(), snapshot_.teams[job.team].allows(job.need));
     if (most == 0) return result;
     for (const Score& c : candidates(job, zone)) {
       const std::size_t i = std::get<std::size_t>(c);
-      const MachineView& m = p_.machines[i];
+      const MachineView& m = snapshot_.machines[i];
       while (result.size() < most && job.need.fits_in(m.free) && zone_allows(job, placed, m.zone)) {
         if (!place_next(job, i, result)) break;
         take(job, i);
@@ -167,7 +167,7 @@
   }
 
   void place_singly(std::size_t j) {
-    JobView& job = p_.jobs[j];
+    JobView& job = snapshot_.jobs[j];
     std::vector<Placement> placed = place(job, nullptr);
     if (placed.empty()) return;
     std::set<std::uint32_t> gone;
@@ -179,7 +179,7 @@
   // Permit: the gang starts when every task has its place; short of that it waits, holding what it
   // has.
   void place_gang(std::size_t j) {
-    JobView& job = p_.jobs[j];
+    JobView& job = snapshot_.jobs[j];
     // What was held is released and placed afresh: the room is still there, and a better whole may
     // now exist.
     if (!job.held.empty()) {
@@ -199,7 +199,7 @@
       std::vector<Placement> tried = place(job, zone.empty() ? nullptr : &zone);
       double cost = 0;
       for (const Placement& x : tried) {
-        const MachineView& m = p_.machines[x.machine];
+        const MachineView& m = snapshot_.machines[x.machine];
         cost += m.price * (m.images.contains(job.image) ? 1 : 2);
       }
       undo(job, tried);
@@ -225,15 +225,15 @@
   // tasks must stop. It starts there by a later pass, like any other; until then nobody else takes
   // that room. A gang of one zone has none cleared where it could not become whole.
   void clear_room(std::size_t j) {
-    const JobView& job = p_.jobs[j];
+    const JobView& job = snapshot_.jobs[j];
     std::size_t lacks = job.pending.size() - job.held.size();
     if (job.kind == wire::JobKind::gang) {
-      if (lacks > p_.teams[job.team].allows(job.need)) return;
+      if (lacks > snapshot_.teams[job.team].allows(job.need)) return;
     } else {
-      lacks = std::min<std::size_t>(lacks, p_.teams[job.team].allows(job.need));
+      lacks = std::min<std::size_t>(lacks, snapshot_.teams[job.team].allows(job.need));
     }
     Zones placed = job.placed;
-    for (const Placement& x : job.held) ++placed[p_.machines[x.machine].zone];
+    for (const Placement& x : job.held) ++placed[snapshot_.machines[x.machine].zone];
     struct Option {
       std::size_t cost = 0, machine = 0, fits = 0;
       std::vector<Victim> tasks;
@@ -245,7 +245,7 @@
       if (!allowed(job, like.type, like.zone, like.spot)) continue;
       if (!zone_allows(job, placed, like.zone)) continue;
       for (const std::size_t i : pool.machines) {
-        const MachineView& m = p_.machines[i];
+        const MachineView& m = snapshot_.machines[i];
         ++out_.looked_at;
         if (m.claimed_by == job.id) {
           const std::size_t n = capacity(job.need, m.total);
@@ -283,7 +283,7 @@
     const bool whole = job.kind == wire::JobKind::gang && job.one_zone;
     for (Option& o : options) {
       if (lacks == 0) return;
-      MachineView& m = p_.machines[o.machine];
+      MachineView& m = snapshot_.machines[o.machine];
       if (!zone_allows(job, placed, m.zone) || (whole && room[m.zone] < lacks)) continue;
       m.claimed_by = job.id;
       placed[m.zone] += static_cast<std::uint32_t>(o.fits);
@@ -292,7 +292,7 @@
     }
   }
 
-  ClusterSnapshot& p_;
+  ClusterSnapshot& snapshot_;
   std::vector<Pool> pools_;
   Decisions out_;
 };
--- a/src/sched/rentals.cc
+++ b/src/sched/rentals.cc
@@ -11,15 +11,15 @@
 
 class Planner {
  public:
-  Planner(const ClusterSnapshot& p, const std::vector<RentalOption>& options)
-      : p_(p), teams_(p.teams), options_(options), counts_(options.size(), 0) {
-    for (std::size_t i = 0; i < p.machines.size(); ++i) add(p.machines[i], i);
-    for (const MachineView& m : p.asked) add(m, p.machines.size());
+  Planner(const ClusterSnapshot& snapshot, const std::vector<RentalOption>& options)
+      : snapshot_(snapshot), teams_(snapshot.teams), options_(options), counts_(options.size(), 0) {
+    for (std::size_t i = 0; i < snapshot.machines.size(); ++i) add(snapshot.machines[i], i);
+    for (const MachineView& m : snapshot.asked) add(m, snapshot.machines.size());
   }
 
   MachinePlan run(const std::vector<Spare>& spares) {
-    for (const std::size_t j : queue_order(p_.jobs)) {
-      const JobView& job = p_.jobs[j];
+    for (const std::size_t j : queue_order(snapshot_.jobs)) {
+      const JobView& job = snapshot_.jobs[j];
       if (job.blocked || job.pending.empty()) continue;
       double budget = std::numeric_limits<double>::infinity();
       settle(job, false, budget, budget);
@@ -106,7 +106,7 @@
     team.gpus += left * job.need.gpus;
 
     std::map<std::string, std::uint32_t> placed = job.placed;
-    for (const Placement& x : job.held) ++placed[p_.machines[x.machine].zone];
+    for (const Placement& x : job.held) ++placed[snapshot_.machines[x.machine].zone];
     std::string only = job.zone.value_or(job.kept_zone.value_or(""));
     if (job.one_zone && only.empty()) {
       for (const auto& [zone, n] : placed)
@@ -184,13 +184,13 @@
       m.price = o.price;
       m.total = m.free = o.total;
       booting_.push_back(rooms_.size());
-      rooms_.push_back({&m, p_.machines.size(), o.total});
+      rooms_.push_back({&m, snapshot_.machines.size(), o.total});
       while (left > 0 && job.need.fits_in(rooms_.back().free) && zone_ok(o.zone))
         take(rooms_.back());
     }
   }
 
-  const ClusterSnapshot& p_;
+  const ClusterSnapshot& snapshot_;
   std::map<std::string, TeamView> teams_;
   const std::vector<RentalOption>& options_;
   std::vector<int> counts_;
@@ -208,30 +208,30 @@
   return Planner(snapshot, options).run(spares);
 }
 
-std::vector<std::size_t> emptied(const ClusterSnapshot& p, double restart_s, double worth,
+std::vector<std::size_t> emptied(const ClusterSnapshot& snapshot, double restart_s, double worth,
                                  std::size_t most) {
   std::vector<std::size_t> result;
-  for (const JobView& j : p.jobs)
+  for (const JobView& j : snapshot.jobs)
     if (!j.blocked && !j.pending.empty()) return result;
   // The emptiest first: fewest tasks, then the dearest.
   std::vector<std::size_t> order;
-  for (std::size_t i = 0; i < p.machines.size(); ++i) {
-    const MachineView& m = p.machines[i];
+  for (std::size_t i = 0; i < snapshot.machines.size(); ++i) {
+    const MachineView& m = snapshot.machines[i];
     if (!m.open || !m.claimed_by.empty() || m.tasks == 0) continue;
     order.push_back(i);
   }
   std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-    return std::make_tuple(p.machines[a].tasks, -p.machines[a].price, a) <
-           std::make_tuple(p.machines[b].tasks, -p.machines[b].price, b);
+    return std::make_tuple(snapshot.machines[a].tasks, -snapshot.machines[a].price, a) <
+           std::make_tuple(snapshot.machines[b].tasks, -snapshot.machines[b].price, b);
   });
   std::map<std::size_t, Need> free;  // of machines that tasks are moved to
   const auto room = [&](std::size_t i) {
     const auto it = free.find(i);
-    return it == free.end() ? p.machines[i].free : it->second;
+    return it == free.end() ? snapshot.machines[i].free : it->second;
   };
   for (std::size_t at = 0; at < order.size() && result.size() < most; ++at) {
     const std::size_t i = order[at];
-    const MachineView& m = p.machines[i];
+    const MachineView& m = snapshot.machines[i];
     if (m.victims.size() != m.tasks || free.contains(i)) continue;
     std::map<std::size_t, Need> taken;
     bool all = true;
@@ -242,7 +242,7 @@
       // The fullest last in the order: looked at first.
       for (std::size_t k = order.size(); k-- > at + 1 && !placed;) {
         const std::size_t to = order[k];
-        const MachineView& other = p.machines[to];
+        const MachineView& other = snapshot.machines[to];
         if (other.type != m.type) continue;
         if ((other.spot && !v.spot) || !other.images.contains(v.image)) continue;
         const auto before = taken.find(to);
