Polls that no leader answers read the store within what it leaves, or get 503

Cause: with no leader to ask, each poll was one or two reads on whichever controller got it, ahead of nothing and behind nothing: five controllers, each within 0.7 of the limit, asked for several times what the store takes.

Change: a status query reads the store only while nothing else waits for it, from a token bucket whose rate halves when the store refuses and comes back within ten seconds (AIMD); else 503 with Retry-After at once. Cancels and repeated submissions are not bound by it.

Test: Trouble.PollsWithoutALeaderLeaveTheStoreToSubmissions (the stand-in of the store has a limit now).

--- a/src/jobs/api_handler.cc
+++ b/src/jobs/api_handler.cc
@@ -148,7 +148,7 @@
   txn.changes.push_back({leader::open_key(id), record, 0});
   state_.txn(std::move(txn), state::Urgency::verdict,
              [this, id, record, elsewhere, reply](const state::TxnResult& t) {
-               if (t.outcome == Outcome::conflict) return status(id, reply);
+               if (t.outcome == Outcome::conflict) return status(id, Purpose::acceptance, reply);
                // Not known, or not done: the transaction can be tried again from anywhere.
                if (t.outcome != Outcome::ok) return elsewhere(record.dump());
                rpc::Answer a;
@@ -163,31 +163,30 @@
              });
 }
 
-void ApiHandler::status(const std::string& id, const Reply& reply) {
+void ApiHandler::status(const std::string& id, Purpose purpose, const Reply& reply) {
   rpc::Answer known;
   known.verdict = rpc::Verdict::known;
   if (const auto v = status_reader_.verdict(id)) {
     known.status = *v;
     return reply(known);
   }
+  const auto found = [known, reply](JobStatusReader::Found result, const wire::JobStatus& s,
+                                    const state::Item&) mutable {
+    known.status = s;
+    if (result == JobStatusReader::Found::none) known.verdict = rpc::Verdict::unknown;
+    if (result == JobStatusReader::Found::cannot) known.verdict = rpc::Verdict::cannot;
+    reply(known);
+  };
   ask_leader({0, id, false, ""}, net::ms(settings_.report_s / 5),
-             [this, id, known, reply](const rpc::Answer& a) {
+             [this, id, purpose, found, reply](const rpc::Answer& a) {
                if (a.verdict != rpc::Verdict::cannot) return reply(a);
-               status_reader_.read(
-                   id, [known, reply](JobStatusReader::Found found, const wire::JobStatus& s,
-                                      const state::Item&) mutable {
-                     known.status = s;
-                     if (found == JobStatusReader::Found::none)
-                       known.verdict = rpc::Verdict::unknown;
-                     if (found == JobStatusReader::Found::cannot)
-                       known.verdict = rpc::Verdict::cannot;
-                     reply(known);
-                   });
+               if (purpose == Purpose::poll) return status_reader_.query(id, found);
+               status_reader_.read(id, found);
              });
 }
 
 void ApiHandler::current(const std::string& id, const Answer& answer) {
-  status(id, [answer](const rpc::Answer& a) {
+  status(id, Purpose::poll, [answer](const rpc::Answer& a) {
     if (a.verdict == rpc::Verdict::cannot) return answer(later("state not available"));
     if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
     answer({200, wire::to_json(a.status), 0});
--- a/src/jobs/api_handler.h
+++ b/src/jobs/api_handler.h
@@ -35,8 +35,10 @@
   void accept(const std::string& id, const wire::Json& record, bool forward, const Reply& reply);
   // Empty if the job could run; else why it never can.
   std::string impossible(const wire::Job& job) const;
+  // Who wants to know: whoever polls can be told to come again, an acceptance waits for its answer.
+  enum class Purpose { poll, acceptance };
   // What is known of a job: the cache, else the leader, else the store.
-  void status(const std::string& id, const Reply& reply);
+  void status(const std::string& id, Purpose purpose, const Reply& reply);
   void current(const std::string& id, const net::Answer& answer);
   void cancel(const std::string& id, const net::Answer& answer);
   void checkin(const net::Request& request, const net::Answer& answer);
--- a/src/jobs/job_status_reader.h
+++ b/src/jobs/job_status_reader.h
@@ -36,6 +36,13 @@
 
   using Done = std::function<void(Found, const wire::JobStatus&, const state::Item& open)>;
 
+  // For a status query: `cannot` at once if the state service has nothing left for it.
+  void query(const std::string& job, Done done) {
+    if (const auto v = verdict(job)) return done(Found::verdict, *v, {});
+    if (!state_.admit_query()) return done(Found::cannot, {}, {});
+    read(job, std::move(done));
+  }
+
   // `open/` is read before `ends/`: a job moves from the first to the second in one transaction, so
   // in this order one that exists can't be missed in both.
   void read(const std::string& job, Done done) {
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -165,20 +165,23 @@
     return;
   }
   const std::uint64_t term = term_;
-  status_reader_.read(id, [this, term, id, cancel, reply = std::move(reply)](
-                              jobs::JobStatusReader::Found found, const wire::JobStatus& status,
-                              const state::Item& open) {
+  const auto found = [this, term, id, cancel, reply = std::move(reply)](
+                         jobs::JobStatusReader::Found result, const wire::JobStatus& status,
+                         const state::Item& open) {
     rpc::Answer a;
-    if (term != term_ || !ready() || found == jobs::JobStatusReader::Found::cannot) return reply(a);
+    if (term != term_ || !ready() || result == jobs::JobStatusReader::Found::cannot)
+      return reply(a);
     a.status = status;
     a.verdict =
-        found == jobs::JobStatusReader::Found::none ? rpc::Verdict::unknown : rpc::Verdict::known;
-    if (found != jobs::JobStatusReader::Found::open) return reply(a);
+        result == jobs::JobStatusReader::Found::none ? rpc::Verdict::unknown : rpc::Verdict::known;
+    if (result != jobs::JobStatusReader::Found::open) return reply(a);
     // Accepted, and the news had not come yet.
     accepted(id, open.value, open.version);
     if (!jobs_.contains(id)) return reply({});
     ask(id, cancel, reply);
-  });
+  };
+  if (cancel) return status_reader_.read(id, found);
+  status_reader_.query(id, found);
 }
 
 // Its user wants it cancelled: all of it is stopped, and nobody is told of a cancellation before it
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -11,6 +11,12 @@
 
 namespace {
 
+// Seconds' worth of requests that may be made in one burst. The service allows bursts of a second,
+// and the other controllers draw on the same limits.
+constexpr double kBurstSeconds = 0.5;
+// A job is looked up under at most two keys.
+constexpr double kReadsPerQuery = 2;
+
 Outcome outcome_of(const Reply& r) {
   switch (r.fate) {
     case Reply::Fate::not_sent:
@@ -60,12 +66,11 @@
     : runtime_(runtime),
       http_(http),
       endpoint_(std::move(endpoint)),
-      rps_(rps),
-      write_rps_(write_rps),
-      tokens_(rps),
-      write_tokens_(write_rps),
       timeout_(timeout),
-      refilled_(runtime.now()) {}
+      requests_(rps, rps, rps * kBurstSeconds, runtime.now()),
+      changes_(write_rps, write_rps, write_rps * kBurstSeconds, runtime.now()),
+      queries_(rps, rps * kBurstSeconds, rps * kBurstSeconds, runtime.now()),
+      query_rate_(rps, runtime.now()) {}
 
 void Client::get(const std::string& key, std::function<void(GetResult)> done, Urgency urgency) {
   submit(urgency, Call{endpoint_, "GET", "/keys/" + key, "", timeout_}, 0,
@@ -165,7 +170,19 @@
       ++requests;
       writes += p.writes;
     }
-  return net::ms(std::max(static_cast<double>(requests) / rps_, writes / write_rps_));
+  return net::ms(
+      std::max(static_cast<double>(requests) / requests_.rate(), writes / changes_.rate()));
+}
+
+// Without this bound every poll that the leader can't answer becomes reads, on every controller:
+// the service then refuses acceptances and the next leader's reads with them.
+bool Client::admit_query() {
+  refill();
+  const bool waiting = std::any_of(std::begin(queues_), std::end(queues_),
+                                   [](const auto& queue) { return !queue.empty(); });
+  if (waiting || !requests_.has(kReadsPerQuery) || !queries_.has(kReadsPerQuery)) return false;
+  queries_.take(kReadsPerQuery);
+  return true;
 }
 
 void Client::submit(Urgency urgency, Call call, int writes, net::ReplyFn done) {
@@ -173,7 +190,7 @@
   // What keeps the leadership alive never waits behind other work.
   if (urgency == Urgency::lease) {
     refill();
-    tokens_ -= 1;
+    requests_.take(1);
     return send(std::move(p));
   }
   queues_[static_cast<int>(urgency)].push_back(std::move(p));
@@ -182,21 +199,17 @@
 
 void Client::refill() {
   const Ms now = runtime_.now();
-  const double s = static_cast<double>(now - refilled_) / 1000.0;
-  refilled_ = now;
-  // Half a second's worth of burst: the other controllers draw on the same limits.
-  tokens_ = std::min(rps_ / 2, tokens_ + s * rps_);
-  write_tokens_ = std::min(write_rps_ / 2, write_tokens_ + s * write_rps_);
+  for (TokenBucket* bucket : {&requests_, &changes_, &queries_}) bucket->refill(now);
 }
 
 void Client::pump() {
   refill();
   for (auto& q : queues_) {
     while (!q.empty()) {
-      const bool enough = tokens_ >= 1 && (q.front().writes == 0 || write_tokens_ >= 1);
+      const bool enough = requests_.has(1) && (q.front().writes == 0 || changes_.has(1));
       if (!enough) {
         if (timer_ == 0)
-          timer_ = runtime_.after(net::ms(1 / write_rps_), [this] {
+          timer_ = runtime_.after(net::ms(1 / changes_.rate()), [this] {
             timer_ = 0;
             pump();
           });
@@ -204,8 +217,8 @@
       }
       Pending p = std::move(q.front());
       q.pop_front();
-      tokens_ -= 1;
-      write_tokens_ -= p.writes;  // below 0 for a large one: the next waits for it
+      requests_.take(1);
+      changes_.take(p.writes);
       send(std::move(p));
     }
   }
@@ -213,8 +226,13 @@
 
 void Client::send(Pending p) {
   http_.call(std::move(p.call), [this, done = std::move(p.done)](const Reply& r) {
-    const bool served = r.fate == Reply::Fate::answered && r.status != 503 && r.status != 429;
-    failures_ = served ? 0 : failures_ + 1;
+    const bool answered = r.fate == Reply::Fate::answered;
+    const bool refused = answered && (r.status == 503 || r.status == 429);
+    failures_ = answered && !refused ? 0 : failures_ + 1;
+    if (answered) {
+      refill();
+      queries_.set_rate(query_rate_.on_answer(refused, runtime_.now()));
+    }
     done(r);
   });
 }
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "net/runtime.h"
+#include "state/rate_limiter.h"
 #include "wire/codec.h"
 
 namespace seampass::state {
@@ -101,6 +102,11 @@
   void renew(std::uint64_t lease, std::function<void(Outcome)> done);
   void end(std::uint64_t lease, std::function<void(Outcome)> done);
 
+  // Whether the reads that answer one status query may be made now. Queries come as often as users
+  // ask, so they get what the rest leaves: none while anything waits, and fewer once the service
+  // refuses.
+  bool admit_query();
+
   // How long a request of this urgency would wait for its turn now.
   net::Ms backlog(Urgency urgency) const;
   // The last few requests all failed, or were refused.
@@ -120,8 +126,11 @@
   net::Runtime& runtime_;
   net::HttpCaller& http_;
   std::string endpoint_;
-  double rps_, write_rps_, tokens_, write_tokens_;
-  net::Ms timeout_, refilled_ = 0;
+  net::Ms timeout_;
+  TokenBucket requests_;
+  TokenBucket changes_;
+  TokenBucket queries_;
+  AdaptiveRate query_rate_;
   std::deque<Pending> queues_[4];
   net::TimerId timer_ = 0;
   int failures_ = 0;
--- a/tests/standins/state_service.h
+++ b/tests/standins/state_service.h
@@ -18,9 +18,16 @@
 
   bool down = false;
   int writes = 0;
+  // Requests a second, with bursts of a second's worth; 0: no limit. What is above is refused.
+  int limit = 0;
+  int refused = 0;
 
   void handle(const net::Request& r, net::Answer answer) {
     expire();
+    if (over_limit()) {
+      ++refused;
+      return answer({429, R"({"error":"too many requests"})", 0});
+    }
     const auto q = r.path.find('?');
     const std::string path = r.path.substr(0, q);
     const std::string query = q == std::string::npos ? "" : r.path.substr(q + 1);
@@ -102,6 +109,16 @@
     net::Answer answer;
   };
 
+  bool over_limit() {
+    if (limit == 0) return false;
+    const double seconds = static_cast<double>(time_.now() - counted_at_) / 1000.0;
+    counted_at_ = time_.now();
+    allowance_ = std::min<double>(limit, allowance_ + seconds * limit);
+    if (allowance_ < 1) return true;
+    allowance_ -= 1;
+    return false;
+  }
+
   static std::string param(const std::string& query, const std::string& name) {
     std::size_t at = 0;
     while (at < query.size()) {
@@ -229,6 +246,8 @@
   }
 
   net::Runtime& time_;
+  double allowance_ = 0;
+  net::Ms counted_at_ = 0;
   std::uint64_t revision_ = 0, last_lease_ = 0, last_watch_ = 0;
   std::map<std::string, Entry> keys_;
   std::map<std::uint64_t, Lease> leases_;
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -416,5 +416,47 @@
   w.expect_rules();
 }
 
+// Nobody leads, and users ask far more often than the store could answer: it is left free for what
+// they submit meanwhile, and for the next leader.
+TEST(Trouble, PollsWithoutALeaderLeaveTheStoreToSubmissions) {
+  World w(1, 4);
+  ASSERT_TRUE(w.settle());
+  for (int i = 0; i < 40; ++i)
+    w.submit(w.follower(), array_job("wk-" + std::to_string(100 + i), 1, 30));
+  w.state.limit = static_cast<int>(settings_for("n0").state_rps);
+  const std::string former = w.leader();
+  w.kill(former);
+  w.time.run_for(1000);
+  const int refused_before = w.state.refused;
+  int asked = 0;
+  int answered = 0;
+  const auto alive = std::make_shared<bool>(true);
+  const auto storm = [&](int polls) {
+    for (int i = 0; i < polls; ++i) {
+      const std::string node = asked % 2 == 0 ? "n0" : "n2";
+      const std::string path = "/api/jobs/wk-" + std::to_string(100 + asked++ % 40);
+      net::Call call{(node == former ? "n1" : node) + ":8080", "GET", path, "", 5000};
+      w.net.call("user", alive, call, [&answered](const net::Reply& r) {
+        answered += r.fate == net::Reply::Fate::answered ? 1 : 0;
+      });
+    }
+  };
+  int submitted = 0;
+  for (; w.leader().empty() && submitted < 100; ++submitted) {
+    storm(100);
+    const Ms before = w.time.now();
+    const std::string id = "wk-" + std::to_string(500 + submitted);
+    EXPECT_EQ(w.submit(w.follower(), array_job(id, 1, 30)).status, 201) << id;
+    EXPECT_LT(w.time.now() - before, 1000);
+    w.time.run_for(100);
+  }
+  EXPECT_GT(submitted, 10);
+  EXPECT_LT(submitted, 100);  // the next leader was not kept out
+  w.time.run_for(5000);
+  EXPECT_EQ(answered, asked);
+  EXPECT_LT((w.state.refused - refused_before) * 20, asked);
+  w.expect_rules();
+}
+
 }  // namespace
 }  // namespace seampass::standins
