AttemptTracker split from Controller; reports.cc becomes four files by concern

TaskId and AttemptId replace pairs and tuples. The Controller's talk with workers is split by concern: attempts, heartbeats, commands, absence; take_report, orders_for and send are shorter functions, and the loops over lost attempts stand once (release_lost). Absence is looked up by name before each use.

--- /dev/null
+++ b/src/leader/attempt_tracker.h
@@ -0,0 +1,60 @@
+// The attempts that take up room: which task is on which machine, what each team uses, and what
+// proves that an attempt is off its machine (docs/architecture.md, "Off").
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "leader/fleet.h"
+#include "leader/ids.h"
+#include "leader/job_record.h"
+#include "net/runtime.h"
+#include "sched/snapshot.h"
+#include "wire/types.h"
+
+namespace seampass::leader {
+
+// How long a machine must have been silent before its worker has surely killed its tasks.
+struct ExpiryTimes {
+  net::Ms silence = 0;      // for a worker that has shown this leader's epoch
+  net::Ms after_begin = 0;  // for any other, since this leader began
+};
+
+class AttemptTracker {
+ public:
+  explicit AttemptTracker(net::Runtime& runtime) : runtime_(runtime) {}
+
+  // Takes the task, its room on the machine and its share of the team's limit.
+  TaskAttempt& add(JobRecord& job, std::uint32_t task, std::uint64_t number, Machine& machine,
+                   std::uint64_t session);
+  // Gives them back. The attempt no longer exists after this.
+  void remove(TaskAttempt& attempt);
+  void clear() { usage_.clear(); }
+
+  void set_state(TaskAttempt& attempt, wire::TaskState state);
+  // Marks it as to be stopped; the first call counts.
+  void stop(TaskAttempt& attempt, double grace_s);
+
+  sched::Need usage(const std::string& team) const;
+
+  // Notes which attempts a report of this machine lacks; true if any is missing now. A heartbeat
+  // that lacks an attempt which was seen before raises the question, as does any report of another
+  // session; the answer to a command does not, since a start may be on its way beside it.
+  static bool mark_missing(Machine& machine, const std::set<TaskId>& reported, bool heartbeat);
+  // The missing attempts whose absence an inspection sent now would prove.
+  std::vector<AttemptId> to_inspect(const Machine& machine) const;
+  // True if the worker's own lease has ended, and its tasks with it.
+  bool lease_expired(const Machine& machine, net::Ms began, bool confirmed,
+                     const ExpiryTimes& times) const;
+
+ private:
+  net::Runtime& runtime_;
+  std::map<std::string, sched::Need> usage_;  // by team
+};
+
+// The attempt with this id on this machine, if it still exists.
+TaskAttempt* find_on(const Machine& machine, const AttemptId& id);
+
+}  // namespace seampass::leader
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -49,7 +49,8 @@
                 [this](const std::string& id, wire::Stage stage) { verdict(id, stage); }}),
       fleet_(runtime, cloud, types, settings, op, [this](Machine& m) { forget_machine(m); }),
       chunk_tasks_(std::max<std::uint32_t>(
-          16, static_cast<std::uint32_t>(settings.value_kb * 1024) / kTaskBytes)) {
+          16, static_cast<std::uint32_t>(settings.value_kb * 1024) / kTaskBytes)),
+      attempts_(runtime) {
   for (const config::Objective& o : settings.objectives) {
     aims_[o.klass].push_back(o);
     if (o.kind != "wait" || o.klass.empty()) continue;
@@ -78,7 +79,7 @@
   for (auto& [id, job] : jobs_)
     for (const auto& w : job->waiters) w({});
   jobs_.clear();
-  team_use_.clear();
+  attempts_.clear();
   kept_.clear();
   snapshot_ = {};
   free_slots_.clear();
@@ -90,6 +91,11 @@
 
 // ---- Jobs ----
 
+JobRecord* Controller::find_job(const std::string& id) {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : it->second.get();
+}
+
 Json Controller::open_record(const wire::Job& job, std::int64_t created_ms) {
   return Json{{"job", wire::to_json(job)}, {"created_ms", created_ms}};
 }
@@ -247,7 +253,7 @@
   const std::uint32_t to = std::min(from + chunk_tasks_, job.spec.tasks);
   Json tasks = Json::array();
   for (auto c = job.attempts.lower_bound(from); c != job.attempts.end() && c->first < to; ++c)
-    tasks.push_back({c->first, c->second.attempt, c->second.machine->name, c->second.session});
+    tasks.push_back({c->first, c->second.number, c->second.machine->name, c->second.session});
   if (job.ended && tasks.empty()) return std::nullopt;
   Json v{{"attempt", job.last_attempt}, {"tasks", std::move(tasks)}, {"team", job.spec.team},
          {"cpus", job.spec.cpus},       {"gpus", job.spec.gpus},     {"memory", job.spec.memory_gb},
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -1,7 +1,8 @@
 // The leading controller: the jobs, what runs where, and the decisions. It acts only between
 // begin() and stop(), which the election calls. Its parts, by what they own: controller.cc the jobs
-// and their ends, recovery.cc the take-over, reports.cc attempts and workers, absence.cc what
-// proves an attempt absent, planning.cc passes and rentals.
+// and their ends, recovery.cc the take-over, attempts.cc how attempts end, heartbeats.cc and
+// commands.cc the talk with workers, absence.cc the questions about missing attempts, planning.cc
+// passes and rentals.
 #pragma once
 
 #include <deque>
@@ -15,8 +16,11 @@
 #include "cloud/machine_catalog.h"
 #include "config/settings.h"
 #include "jobs/job_status_reader.h"
+#include "leader/attempt_tracker.h"
 #include "leader/election.h"
 #include "leader/fleet.h"
+#include "leader/ids.h"
+#include "leader/job_record.h"
 #include "leader/record_store.h"
 #include "net/runtime.h"
 #include "rpc/peer.h"
@@ -26,63 +30,6 @@
 
 namespace seampass::leader {
 
-struct JobRecord;
-
-// One attempt of one task on one machine, from its durable record until it is known to be off
-// (docs/architecture.md, "Off").
-struct TaskAttempt {
-  JobRecord* job = nullptr;
-  std::uint32_t task = 0;
-  std::uint64_t attempt = 0;
-  Machine* machine = nullptr;
-  std::uint64_t session = 0;
-  bool durable = false;
-  bool sent = false;  // a start may have reached the worker
-  bool seen = false;
-  bool missing = false;  // a report lacked it; not confirmed yet
-  int in_flight = 0;     // starts on their way through /commands
-  net::Ms start_sent_at = 0;
-  wire::TaskState state = wire::TaskState::fetching;
-  net::Ms running_since = 0;
-  bool stop = false;
-  double grace_s = 0;
-  net::Ms stop_since = 0;
-};
-
-struct JobRecord {
-  wire::Job spec;
-  std::int64_t created_ms = 0;
-  state::Version open_version = 0;
-  std::uint64_t last_attempt = 0;
-  std::vector<bool> taken;  // finished or charged
-  std::vector<bool> finished;
-  std::uint32_t finished_count = 0;
-  std::uint32_t hint = 0;  // no task before this one is free
-  std::map<std::uint32_t, TaskAttempt> attempts;
-  std::uint32_t running = 0;
-  net::Ms retry_at = 0;
-  int failures = 0;  // since a task of it was done, and on which machines
-  std::set<std::string> failed_on;
-  // Task and machine where an attempt ended without a result and is not forgotten.
-  std::set<std::pair<std::uint32_t, std::string>> unreaped_attempts;
-  // Gangs.
-  std::vector<std::pair<std::uint32_t, std::string>> held;
-  net::Ms held_since = 0;
-  bool whole_only = false;  // timed out once
-  std::string kept_zone;    // where its room is kept since then, if anywhere
-  net::Ms kept_since = 0;
-  // Ends. `ending`: nothing of it is started any more; it was called off, or all of it is done.
-  // `concluding`: its verdict is with the record store. `ended`: the verdict is in the store.
-  bool ending = false;
-  bool concluding = false;
-  bool ended = false;
-  wire::Stage stage = wire::Stage::queued;
-  std::vector<std::function<void(const rpc::Answer&)>> waiters;
-
-  bool broken() const { return failed_on.size() > 1; }
-  bool gang() const { return spec.kind == wire::JobKind::gang; }
-};
-
 struct CheckinAnswer {
   int status = 503;
   std::string body;
@@ -116,6 +63,7 @@
   void watch();
 
   // Jobs.
+  JobRecord* find_job(const std::string& id);
   void accepted(const std::string& id, const wire::Json& record, state::Version version);
   static void finish_task(JobRecord& job, std::uint32_t task);
   void maybe_done(JobRecord& job);
@@ -126,36 +74,44 @@
   static rpc::Answer status_of(const JobRecord& job);
   std::optional<wire::Json> render(const std::string& id, std::uint32_t chunk) const;
 
-  // Charges: reports.cc.
-  TaskAttempt& add_attempt(JobRecord& job, std::uint32_t task, std::uint64_t attempt,
-                           Machine& machine, std::uint64_t session);
-  void release(TaskAttempt& c);
-  void lost_attempt(JobRecord& job);
+  // Attempts: attempts.cc.
   TaskAttempt* find_attempt(const std::string& job, std::uint32_t task);
-  void stop_attempt(TaskAttempt& c, double grace_s);
-  void stop_to_save(TaskAttempt& c);
+  TaskAttempt* find_attempt(const AttemptId& id);
+  void release(TaskAttempt& attempt);
+  void release_lost(const std::vector<TaskAttempt*>& lost);
+  void lost_attempt(JobRecord& job);
+  void stop_to_save(TaskAttempt& attempt);
   void stop_all(JobRecord& job, double grace_s, bool again = false);
-  void send_stops(const std::vector<TaskAttempt*>& attempts);
-  void set_state(TaskAttempt& c, wire::TaskState state);
   void machine_gone(Machine& machine);
   void forget_machine(Machine& machine);
-
-  // Workers: reports.cc.
-  void take_report(Machine& machine, const wire::WorkerReport& report, bool checkin);
   void record_failure(JobRecord& job, Machine& machine);
-  void task_exited(TaskAttempt& c, const wire::TaskReport& task);
+  void task_exited(TaskAttempt& attempt, const wire::TaskReport& report);
+  void task_done(TaskAttempt& attempt);
+
+  // Reports of workers: heartbeats.cc.
+  void take_report(Machine& machine, const wire::WorkerReport& report, bool heartbeat);
+  void take_machine_state(Machine& machine, const wire::WorkerReport& report);
+  TaskAttempt* adopt(Machine& machine, const AttemptId& id);
+  void take_exits(Machine& machine, const std::vector<const wire::TaskReport*>& exited);
+  bool may_forget(const Machine& machine, const wire::TaskReport& task) const;
+  std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
+  void add_starts(Machine& machine, const std::set<TaskId>& reported,
+                  std::vector<wire::Command>& orders);
 
-  // What proves an attempt absent: absence.cc.
+  // Missing attempts: absence.cc.
   void confirm_missing(Machine& machine);
   void take_inspection(Machine& machine, const wire::WorkerReport& report,
-                       const std::vector<AttemptName>& asked);
-  void release_missing(const std::vector<TaskAttempt*>& missing);
-  bool may_forget(const Machine& machine, const wire::TaskReport& task) const;
-  std::vector<wire::Command> orders_for(Machine& machine, const wire::WorkerReport& report);
+                       const std::vector<AttemptId>& asked);
+
+  // Commands to workers: commands.cc.
   void send(Machine& machine, const std::vector<wire::Command>& commands);
+  void send_stops(const std::vector<TaskAttempt*>& attempts);
+  void take_command_answer(const std::string& name, const std::vector<AttemptId>& starts,
+                           workers::Sent sent, const std::optional<wire::WorkerReport>& report);
   void unanswered(Machine& machine);
-  void starts_durable(const std::string& id,
-                      const std::vector<std::pair<std::uint32_t, std::uint64_t>>& tasks);
+  void starts_durable(const std::string& id, const std::vector<AttemptId>& assigned);
+  static void add_start(const Machine& machine, const AttemptId& id,
+                        std::vector<wire::Command>& commands);
 
   // Scheduling: planning.cc.
   void request_pass();
@@ -178,6 +134,8 @@
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks);
   void tick();
   bool is_isolated();
+  void release_expired();
+  void expire_holds();
   void log_use() const;
   void drain_noticed();
 
@@ -202,7 +160,7 @@
   state::Version listed_ = 0;  // open jobs were listed as of this revision; 0: not yet
   state::Version watched_ = 0;
   std::map<std::string, std::unique_ptr<JobRecord>> jobs_;
-  std::map<std::string, sched::Need> team_use_;
+  AttemptTracker attempts_;
   // Kept from pass to pass: a machine is drawn anew when it has changed.
   sched::ClusterSnapshot snapshot_;
   std::vector<std::size_t> free_slots_;
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -12,6 +12,7 @@
 #include "cloud/client.h"
 #include "cloud/machine_catalog.h"
 #include "config/settings.h"
+#include "leader/ids.h"
 #include "net/runtime.h"
 #include "sched/snapshot.h"
 
@@ -19,9 +20,6 @@
 
 struct TaskAttempt;
 
-// Job id, task, attempt.
-using AttemptName = std::tuple<std::string, std::uint32_t, std::uint64_t>;
-
 struct Machine {
   std::string name, addr, type, zone;
   bool spot = false;
@@ -32,8 +30,8 @@
   net::Ms heard = -1;               // last check-in that this leader may have answered; -1: none
   net::Ms first_heartbeat_at = -1;  // first check-in of this term; -1: none
   net::Ms listed_up = -1;           // first listed as running in this term; -1: not yet
-  std::optional<net::Ms>
-      unresponsive_since;  // the first command without an answer since the last with one
+  // The first command without an answer since the last with one.
+  std::optional<net::Ms> unresponsive_since;
   std::uint64_t session = 0, seq = 0, token = 0;
   // Session and seq of the latest check-in that showed this leader's warrant, and of the latest
   // that did not.
@@ -44,19 +42,24 @@
   net::Ms idle_since = 0;
   net::Ms suspect_until = 0;
   std::set<std::string> failed_jobs;  // since a task was done here
-  std::map<std::pair<std::string, std::uint32_t>, TaskAttempt*> attempts;
+  std::map<TaskId, TaskAttempt*> attempts;
   std::string claimed_by;  // a job that room is being cleared for
   net::Ms claimed_until = 0;
   std::size_t unknown_tasks = 0;  // reported tasks that no attempt accounts for
   std::set<std::string> images;
-  std::set<AttemptName> exited;  // reported as ended and not forgotten yet
+  std::set<AttemptId> exited;  // reported as ended and not forgotten yet
   // Starts sent to /commands in this session: until it changes, each may be executed late, or once
   // more by a late copy. The worker ignores it for as long as it knows the attempt.
-  std::set<AttemptName> started;
+  std::set<AttemptId> started;
   // Its place among the snapshot's machines, and whether it has changed since it was drawn there.
   std::size_t slot = kNoSlot;
   bool stale = true;
   static constexpr std::size_t kNoSlot = static_cast<std::size_t>(-1);
+
+  void note_heartbeat(net::Ms now) {
+    heard = now;
+    if (first_heartbeat_at < 0) first_heartbeat_at = now;
+  }
 };
 
 // An order that does not depend on where machines lie in memory.
--- /dev/null
+++ b/src/leader/heartbeats.cc
@@ -0,0 +1,194 @@
+// The Controller's worker reports: which of them count, what they change, and what is answered.
+#include <algorithm>
+
+#include "leader/controller.h"
+
+namespace seampass::leader {
+
+using net::Ms;
+using state::Urgency;
+using wire::ExitCause;
+using wire::TaskState;
+using wire::Verb;
+
+CheckinAnswer Controller::checkin(const wire::WorkerReport& report) {
+  if (!active_ || !election_.may_answer()) return {503, "{}"};
+  if (report.token > election_.warrant()) {  // another leads already
+    election_.lost();
+    return {503, "{}"};
+  }
+  if (fleet_.deleted(report.machine)) return {503, "{}"};  // only late reports come from it
+  Machine& machine = fleet_.ensure(report.machine);
+  if (machine.type.empty() || machine.addr.empty()) {
+    machine.addr = report.addr;
+    machine.type = report.type;
+    machine.zone = report.zone;
+    machine.spot = report.spot;
+  }
+  const std::pair heartbeat{report.session, report.seq};
+  if (report.token < election_.warrant()) {
+    // It has not heard this leader. Or it is a late copy, perhaps from a former life of the machine
+    // with more sessions than this one: so it is answered, to be heard, and proves nothing.
+    // A worker keeps the highest epoch that it has seen; one that shows less than before is a
+    // copy, or has begun anew, and what it had is given up like that of any silent machine.
+    if (report.token < machine.token || heartbeat == machine.last_unconfirmed_heartbeat)
+      return {503, "{}"};
+    machine.last_unconfirmed_heartbeat = heartbeat;
+    machine.note_heartbeat(runtime_.now());
+    return {200, wire::checkin_answer(election_.warrant(), {})};
+  }
+  if (report.session < machine.session) return {503, "{}"};
+  // A copy that comes late is no sign of life: its worker got the answer to the first, or none. But
+  // it may also be a machine that ended and was back at once, counting from the start again. So it
+  // gets no answer that renews a lease: every one that does must count as heard.
+  if (heartbeat <= machine.checkin) return {503, "{}"};
+  machine.checkin = heartbeat;
+  machine.note_heartbeat(runtime_.now());
+  // (The answer to a command may have overtaken it.)
+  const bool newer = report.session > machine.session || report.seq > machine.seq;
+  if (!loaded_ || !newer) return {200, wire::checkin_answer(election_.warrant(), {})};
+  take_report(machine, report, true);
+  return {200, wire::checkin_answer(election_.warrant(), orders_for(machine, report))};
+}
+
+void Controller::take_report(Machine& machine, const wire::WorkerReport& report, bool heartbeat) {
+  const bool newer = report.session > machine.session ||
+                     (report.session == machine.session && report.seq > machine.seq);
+  if (!newer || report.token < election_.warrant()) return;
+  take_machine_state(machine, report);
+  std::set<TaskId> reported;
+  std::vector<const wire::TaskReport*> exited;
+  machine.unknown_tasks = 0;
+  machine.exited.clear();
+  for (const wire::TaskReport& task : report.tasks) {
+    const AttemptId id{task.job, task.index, task.attempt};
+    if (task.state == TaskState::exited) machine.exited.insert(id);
+    TaskAttempt* attempt = find_on(machine, id);
+    if (!attempt && task.state != TaskState::exited) attempt = adopt(machine, id);
+    if (!attempt) continue;
+    reported.insert(id.task_id());
+    if (!attempt->seen) machine.unresponsive_since.reset();
+    attempt->seen = true;
+    attempt->missing = false;
+    if (task.state == TaskState::exited) {
+      exited.push_back(&task);
+      continue;
+    }
+    if (task.state != TaskState::fetching && machine.images.insert(attempt->job->spec.image).second)
+      machine.stale = true;
+    attempts_.set_state(*attempt, task.state);
+  }
+  const bool any_missing = AttemptTracker::mark_missing(machine, reported, heartbeat);
+  take_exits(machine, exited);
+  if (machine.draining && machine.attempts.empty() && !machine.deleting) fleet_.remove(machine);
+  if (any_missing) confirm_missing(machine);
+}
+
+void Controller::take_machine_state(Machine& machine, const wire::WorkerReport& report) {
+  if (report.session > machine.session) machine.started.clear();
+  machine.session = report.session;
+  machine.seq = report.seq;
+  machine.token = report.token;
+  if (!machine.up) {  // it lives now, and hears us
+    machine.up = true;
+    machine.idle_since = runtime_.now();
+    request_pass();
+  }
+  machine.taken_at.reset();
+  if (report.notice_s) machine.taken_at = runtime_.now() + net::ms(*report.notice_s);
+}
+
+// A task that should not be on this machine. If its job is open and the task free, the attempt is
+// recorded again, so that the task is started nowhere else; in any case the machine takes nothing
+// until it is settled.
+TaskAttempt* Controller::adopt(Machine& machine, const AttemptId& id) {
+  JobRecord* job = find_job(id.job);
+  if (!job || id.task >= job->spec.tasks || job->attempts.contains(id.task)) {
+    ++machine.unknown_tasks;
+    return nullptr;
+  }
+  TaskAttempt& attempt = attempts_.add(*job, id.task, id.attempt, machine, machine.session);
+  attempt.durable = attempt.sent = true;
+  job->last_attempt = std::max(job->last_attempt, id.attempt);
+  records_.changed(id.job, chunk_of(id.task), Urgency::assignment);
+  if (job->ending || job->finished[id.task] || job->gang()) attempts_.stop(attempt, 0);
+  return &attempt;
+}
+
+// Releasing can end jobs and move others, so this goes by name.
+void Controller::take_exits(Machine& machine, const std::vector<const wire::TaskReport*>& exited) {
+  std::set<std::string> jobs;
+  for (const wire::TaskReport* task : exited) {
+    jobs.insert(task->job);
+    TaskAttempt* attempt = find_on(machine, {task->job, task->index, task->attempt});
+    if (attempt) task_exited(*attempt, *task);
+  }
+  for (const std::string& id : jobs)
+    if (JobRecord* job = find_job(id)) maybe_done(*job);
+}
+
+// A late copy of a start finds the attempt for as long as the worker knows it, and does nothing.
+// Once it is forgotten the copy would start it again: an attempt that ended without a result while
+// another runs elsewhere, and any of a cancelled job. (One that is done would only say so again,
+// but its job may be cancelled yet.)
+bool Controller::may_forget(const Machine& machine, const wire::TaskReport& task) const {
+  if (!machine.started.contains({task.job, task.index, task.attempt})) return true;
+  if (task.cause != ExitCause::done) return false;
+  const auto job = jobs_.find(task.job);
+  if (job != jobs_.end() && !job->second->ended) return false;
+  const auto final_status = status_reader_.verdict(task.job);
+  return final_status && final_status->stage == wire::Stage::done;
+}
+
+std::vector<wire::Command> Controller::orders_for(Machine& machine,
+                                                  const wire::WorkerReport& report) {
+  std::vector<wire::Command> orders;
+  std::set<TaskId> reported;
+  const Ms now = runtime_.now();
+  for (const wire::TaskReport& task : report.tasks) {
+    const AttemptId id{task.job, task.index, task.attempt};
+    const TaskAttempt* attempt = find_on(machine, id);
+    if (task.state == TaskState::exited) {
+      // Forgotten only after the record of its end is durable.
+      if (!attempt && records_.settled(id.job, chunk_of(id.task)) && may_forget(machine, task)) {
+        machine.started.erase(id);
+        orders.push_back({Verb::forget, id.job, id.task, id.attempt, 0});
+      }
+      continue;
+    }
+    if (!attempt) {
+      orders.push_back({Verb::stop, id.job, id.task, id.attempt, 0});
+      continue;
+    }
+    reported.insert(id.task_id());
+    if (!attempt->stop) continue;
+    const bool overdue =
+        now - attempt->stop_since > net::ms(attempt->grace_s + 2 * settings_.gang_peer_s);
+    orders.push_back({Verb::stop, id.job, id.task, id.attempt, overdue ? 0 : attempt->grace_s});
+  }
+  if (election_.holds()) add_starts(machine, reported, orders);
+  return orders;
+}
+
+// Starts that the worker has not shown yet. In the answer to a heartbeat they need no guard against
+// late copies: the worker takes no answer that is older than a few seconds.
+void Controller::add_starts(Machine& machine, const std::set<TaskId>& reported,
+                            std::vector<wire::Command>& orders) {
+  for (const auto& [task, attempt] : machine.attempts) {
+    if (reported.contains(task) || attempt->seen || !attempt->durable) continue;
+    if (attempt->in_flight > 0 || attempt->session != machine.session) continue;
+    if (attempt->job->ending && !attempt->stop) continue;
+    attempt->start_sent_at = runtime_.now();
+    orders.push_back({Verb::start, task.job, task.task, attempt->number, 0});
+    if (attempt->stop) {
+      // It was never seen, and its start may come at any time. Started and stopped in one go, the
+      // attempt is known to the worker, the late start does nothing, and the next report has it as
+      // ended.
+      orders.push_back({Verb::stop, task.job, task.task, attempt->number, 0});
+    } else {
+      attempt->sent = true;
+    }
+  }
+}
+
+}  // namespace seampass::leader
--- /dev/null
+++ b/src/leader/ids.h
@@ -0,0 +1,31 @@
+// Names of tasks and of their attempts.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace seampass::leader {
+
+struct TaskId {
+  std::string job;
+  std::uint32_t task = 0;
+
+  bool operator==(const TaskId&) const = default;
+  bool operator<(const TaskId& o) const { return std::tie(job, task) < std::tie(o.job, o.task); }
+};
+
+// Attempts of a job are numbered once, so that no two starts of a task share an id.
+struct AttemptId {
+  std::string job;
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+
+  TaskId task_id() const { return {job, task}; }
+  bool operator==(const AttemptId&) const = default;
+  bool operator<(const AttemptId& o) const {
+    return std::tie(job, task, attempt) < std::tie(o.job, o.task, o.attempt);
+  }
+};
+
+}  // namespace seampass::leader
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -130,11 +130,9 @@
     sched::TeamView& v = snapshot_.teams[t.name];
     if (t.cpus_max > 0) v.cpus_max = t.cpus_max;
     if (t.gpus_max > 0) v.gpus_max = t.gpus_max;
-    const auto use = team_use_.find(t.name);
-    if (use != team_use_.end()) {
-      v.cpus = use->second.cpus;
-      v.gpus = use->second.gpus;
-    }
+    const sched::Need usage = attempts_.usage(t.name);
+    v.cpus = usage.cpus;
+    v.gpus = usage.gpus;
   }
 }
 
@@ -209,8 +207,7 @@
       const Machine* m = fleet_.find(left->second);
       const auto e =
           m ? m->started.lower_bound({id, left->first, 0}) : decltype(m->started.end())();
-      const bool there =
-          m && e != m->started.end() && std::get<0>(*e) == id && std::get<1>(*e) == left->first;
+      const bool there = m && e != m->started.end() && e->task_id() == TaskId{id, left->first};
       if (there && m->slot != Machine::kNoSlot) v.avoid.insert({left->first, m->slot});
       left = there ? std::next(left) : job->unreaped_attempts.erase(left);
     }
@@ -489,15 +486,15 @@
     if (m.claimed_by == job.spec.id) m.claimed_by.clear();
   job.whole_only = false;
   job.kept_zone.clear();
-  std::map<std::uint32_t, std::vector<std::pair<std::uint32_t, std::uint64_t>>> by_chunk;
-  std::vector<std::pair<std::uint32_t, std::uint64_t>> all;
+  std::map<std::uint32_t, std::vector<AttemptId>> by_chunk;
+  std::vector<AttemptId> all;
   for (const sched::Placement& x : tasks) {
     Machine* m = fleet_.find(snapshot_.machines[x.machine].name);
     if (!m) continue;
     m->stale = true;
-    add_attempt(job, x.task, attempt, *m, m->session);
-    by_chunk[chunk_of(x.task)].emplace_back(x.task, attempt);
-    all.emplace_back(x.task, attempt);
+    attempts_.add(job, x.task, attempt, *m, m->session);
+    all.push_back({job.spec.id, x.task, attempt});
+    by_chunk[chunk_of(x.task)].push_back(all.back());
   }
   spdlog::debug("starting {} tasks of {} try {} on {}", all.size(), job.spec.id, attempt,
                 snapshot_.machines[tasks.front().machine].name);
@@ -542,44 +539,46 @@
   });
   if (!ready()) return;
   if (is_isolated() && election_.resign()) return;
-  const Ms now = runtime_.now();
-  const Ms lease = net::ms(settings_.lease_s);
-  // Without a word for longer than its lease since the last check-in that anyone may have
-  // answered, a worker has killed its tasks. Twice the drift of 0.05% each way, and a little.
-  const Ms bound = lease + lease / 500 + 50;
-  const Ms unheard = net::ms(settings_.cancel_s) + lease / 500 + 50;
-  std::vector<Machine*> expired;
-  for (auto& [name, m] : fleet_.machines()) {
-    if (m.attempts.empty()) continue;
-    const bool in_flight = std::any_of(m.attempts.begin(), m.attempts.end(),
-                                       [](const auto& e) { return e.second->in_flight > 0; });
-    if (in_flight) continue;
-    // Until a worker has shown this warrant, the former leader may have answered it last.
-    const bool ours = m.heard >= 0 && m.token >= election_.warrant();
-    // A worker that ended and was back at once began a lease of its own; what it was told to start
-    // since may run for as long.
-    if (now - std::max(m.heard, m.last_command_ack_at) > bound && (ours || now - began_ > unheard))
-      expired.push_back(&m);
-  }
-  for (Machine* m : expired) machine_gone(*m);
+  release_expired();
   for (auto& [klass, a] : arrivals_)
     while (a.recent.size() > kMaxArrivals) a.recent.pop_front();
+  expire_holds();
   std::set<std::string> kept = kept_;
-  for (auto& [id, job] : jobs_) {
-    if (!job->held.empty() && !job->whole_only &&
-        now - job->held_since > net::ms(operator_.hold_timeout_s)) {
-      job->held.clear();
-      job->whole_only = true;
-      request_pass();
-    }
+  for (const auto& [id, job] : jobs_)
     for (const auto& [task, name] : job->held) kept.insert(name);
-  }
   drain_noticed();
   if (spdlog::should_log(spdlog::level::debug)) log_use();
   fleet_.tick(kept);
   request_pass();
 }
 
+// What is on a machine that has been silent for longer than its worker's lease.
+void Controller::release_expired() {
+  const Ms lease = net::ms(settings_.lease_s);
+  // Twice the drift of 0.05% each way, and a little.
+  const Ms margin = lease / 500 + 50;
+  const ExpiryTimes times{lease + margin, net::ms(settings_.cancel_s) + margin};
+  std::vector<Machine*> expired;
+  for (auto& [name, m] : fleet_.machines()) {
+    if (m.attempts.empty()) continue;
+    const bool confirmed = m.heard >= 0 && m.token >= election_.warrant();
+    if (attempts_.lease_expired(m, began_, confirmed, times)) expired.push_back(&m);
+  }
+  for (Machine* m : expired) machine_gone(*m);
+}
+
+// A gang that has held room for too long gives it back.
+void Controller::expire_holds() {
+  const Ms now = runtime_.now();
+  for (auto& [id, job] : jobs_) {
+    if (job->held.empty() || job->whole_only) continue;
+    if (now - job->held_since <= net::ms(operator_.hold_timeout_s)) continue;
+    job->held.clear();
+    job->whole_only = true;
+    request_pass();
+  }
+}
+
 // By machine type: what is paid for, and what it is used for.
 void Controller::log_use() const {
   struct Use {
--- a/src/leader/recovery.cc
+++ b/src/leader/recovery.cc
@@ -41,7 +41,7 @@
     for (const std::string& id : ids) {
       JobRecord& job = *jobs_.at(id);
       if (job.ended) {
-        for (auto& [task, c] : job.attempts) c.stop = true;
+        for (auto& [task, attempt] : job.attempts) attempt.stop = true;
         erase_if_settled(id);
       } else {
         // Half an attempt in the records: the former leader did not get to start it all.
@@ -97,10 +97,10 @@
     for (const Json& t : v.at("tasks")) {
       const auto task = t.at(0).get<std::uint32_t>();
       if (task >= job.spec.tasks || job.attempts.contains(task)) continue;
-      TaskAttempt& c =
-          add_attempt(job, task, t.at(1).get<std::uint64_t>(),
-                      fleet_.ensure(t.at(2).get<std::string>()), t.at(3).get<std::uint64_t>());
-      c.durable = c.sent = true;
+      TaskAttempt& attempt =
+          attempts_.add(job, task, t.at(1).get<std::uint64_t>(),
+                        fleet_.ensure(t.at(2).get<std::string>()), t.at(3).get<std::uint64_t>());
+      attempt.durable = attempt.sent = true;
     }
   } catch (const std::exception& e) {
     spdlog::error("unreadable record {}: {}", item.key, e.what());
