--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -1,8 +1,9 @@
 // The leading controller: the jobs, what runs where, and the decisions. It acts only between
 // begin() and stop(), which the election calls. Its parts, by what they own: controller.cc the jobs
 // and their ends, recovery.cc the take-over, attempts.cc how attempts end, heartbeats.cc and
-// commands.cc the talk with workers, absence.cc the questions about missing attempts, planning.cc
-// passes and rentals.
+// commands.cc the talk with workers, absence.cc the questions about missing attempts,
+// cluster_view.cc the snapshot, planning.cc passes and rentals, upkeep.cc what is done at
+// intervals.
 #pragma once
 
 #include <deque>
@@ -113,16 +114,21 @@
   static void add_start(const Machine& machine, const AttemptId& id,
                         std::vector<wire::Command>& commands);
 
-  // Scheduling: planning.cc.
-  void request_pass();
-  // lateness: how long after it was due; a sign of how busy this process is.
-  void run_pass(net::Ms lateness);
+  // The snapshot: cluster_view.cc.
   void update_view(Machine& machine, const wire::MachineType& type);
   void update_machines();
   void update_teams();
+  static std::vector<std::uint32_t> pending_tasks(const JobRecord& job, std::size_t most);
+  std::set<std::pair<std::uint32_t, std::size_t>> tasks_to_avoid(JobRecord& job);
+  void take_held_room(const JobRecord& job, sched::JobView& view);
   std::vector<JobRecord*> update_jobs();
   std::set<const JobRecord*> guaranteed_jobs() const;
   void keep_zones(const std::vector<JobRecord*>& jobs);
+
+  // Scheduling: planning.cc.
+  void request_pass();
+  // lateness: how long after it was due; a sign of how busy this process is.
+  void run_pass(net::Ms lateness);
   void touch(std::size_t slot);
   double longest_boot_s() const;
   double age_s(const JobRecord& job) const;
@@ -132,12 +138,14 @@
   void empty_machines();
   void evict(const sched::Decisions& decisions);
   void start(JobRecord& job, const std::vector<sched::Placement>& tasks);
+
+  // At intervals: upkeep.cc.
   void tick();
   bool is_isolated();
   void release_expired();
   void expire_holds();
-  void log_use() const;
   void drain_noticed();
+  void log_use() const;
 
   net::Runtime& runtime_;
   state::Client& state_;
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
-#include <tuple>
 
 #include "leader/controller.h"
 
@@ -13,33 +12,22 @@
 using net::Ms;
 using sched::need_of;
 using state::Urgency;
-using wire::TaskState;
 
 namespace {
 
-// Pending tasks of one job that a pass looks at.
-constexpr std::size_t kPassTasks = 256;
 // A pass follows what calls for it at once, but for the last pass: what comes in between goes
 // together, into fewer records and messages. (A share of the report interval.)
 constexpr double kPassPause = 0.04;
 // After a pass the controller is free for its other work for so many times as long as the pass took
 // and came late.
 constexpr Ms kPassRest = 4;
-// A gang's room is kept in one zone for so many of the longest boots.
-constexpr double kKeptBoots = 3;
 // Arrivals are counted over this many boot times.
 constexpr double kArrivalWindow = 6;
-constexpr std::size_t kMaxArrivals = 500;
 constexpr double kEndsCounted = 0.5;
 // A task is moved only if it has this many times longer to run than its stop and start take; one in
 // so many machines is emptied in a plan.
 constexpr double kEmptiedWorth = 3;
 constexpr std::size_t kEmptiedShare = 50;
-// A leader makes way if so large a share of its machines, and at least so many, said nothing for so
-// many report intervals.
-constexpr double kIsolatedShare = 0.9;
-constexpr std::size_t kIsolatedLeast = 3;
-constexpr double kIsolatedReports = 1.6;
 // A spare is kept on no type that costs more than this many times the cheapest that would do.
 constexpr double kSpareDearest = 3;
 
@@ -57,210 +45,6 @@
   });
 }
 
-// What a machine is used for, drawn anew only after it has changed.
-void Controller::update_view(Machine& m, const wire::MachineType& type) {
-  sched::MachineView& v = snapshot_.machines[m.slot];
-  v.name = m.name;
-  v.type = m.type;
-  v.zone = m.zone;
-  v.spot = m.spot;
-  v.total = v.free = {type.cpus, type.gpus, type.memory_gb};
-  v.victims.clear();
-  for (const auto& [key, c] : m.attempts) {
-    const wire::Job& spec = c->job->spec;
-    v.free -= need_of(spec);
-    // Only what saves, runs, and is not being stopped already.
-    if (!c->job->gang() && spec.checkpoint_s > 0 && c->state == TaskState::running && !c->stop)
-      v.victims.push_back({spec.id, c->task, spec.priority, need_of(spec), spec.image, spec.spot,
-                           !spec.zone && !spec.one_zone && !spec.spread, 0, spec.save_s});
-  }
-  v.images = m.images;
-  v.tasks = m.attempts.size();
-  m.stale = false;
-}
-
-void Controller::update_machines() {
-  const Ms now = runtime_.now();
-  const Ms fresh = net::ms(settings_.lease_s) / 3;
-  for (auto& [name, m] : fleet_.machines()) {
-    const wire::MachineType* type = types_.find(m.type);
-    if (!type) continue;
-    if (m.slot == Machine::kNoSlot) {
-      if (free_slots_.empty()) {
-        m.slot = snapshot_.machines.size();
-        snapshot_.machines.emplace_back();
-      } else {
-        m.slot = free_slots_.back();
-        free_slots_.pop_back();
-      }
-      m.stale = true;
-    }
-    if (m.stale) update_view(m, *type);
-    // What time alone changes.
-    sched::MachineView& v = snapshot_.machines[m.slot];
-    v.price = m.spot ? type->spot_price : type->price;
-    // A third of the lease without a word: whatever is started there may never be.
-    v.open = m.up && !m.deleting && !m.draining && !m.taken_at && m.unknown_tasks == 0 &&
-             now >= m.suspect_until && now - m.heard < fresh;
-    // (One that reports shows within a report that it hears us, or it is no machine on its way.)
-    v.booting =
-        !m.up && !m.deleting && m.attempts.empty() &&
-        (m.first_heartbeat_at < 0 ? now - m.since < net::ms(2 * type->boot_s)
-                                  : now - m.first_heartbeat_at < net::ms(settings_.report_s));
-    v.claimed_by.clear();
-    if (now < m.claimed_until && jobs_.contains(m.claimed_by)) v.claimed_by = m.claimed_by;
-  }
-  snapshot_.asked.clear();
-  for (const auto& [request, asked] : fleet_.asked()) {
-    const wire::MachineType* type = types_.find(asked.type);
-    if (!type) continue;
-    sched::MachineView v;
-    v.type = asked.type;
-    v.zone = asked.zone;
-    v.spot = asked.spot;
-    v.booting = true;
-    v.total = v.free = {type->cpus, type->gpus, type->memory_gb};
-    snapshot_.asked.insert(snapshot_.asked.end(), static_cast<std::size_t>(asked.count), v);
-  }
-}
-
-void Controller::update_teams() {
-  snapshot_.teams.clear();
-  for (const config::Team& t : settings_.teams) {
-    sched::TeamView& v = snapshot_.teams[t.name];
-    if (t.cpus_max > 0) v.cpus_max = t.cpus_max;
-    if (t.gpus_max > 0) v.gpus_max = t.gpus_max;
-    const sched::Need usage = attempts_.usage(t.name);
-    v.cpus = usage.cpus;
-    v.gpus = usage.gpus;
-  }
-}
-
-// A job is within its team's guarantee if it fits there together with the team's earlier unfinished
-// jobs.
-std::set<const JobRecord*> Controller::guaranteed_jobs() const {
-  std::vector<const JobRecord*> order;
-  for (const auto& [id, job] : jobs_)
-    if (!job->ending && job->spec.gpus > 0) order.push_back(job.get());
-  std::sort(order.begin(), order.end(), [](const JobRecord* a, const JobRecord* b) {
-    return std::tie(a->created_ms, a->spec.id) < std::tie(b->created_ms, b->spec.id);
-  });
-  std::map<std::string, double> asked;
-  std::set<const JobRecord*> result;
-  for (const JobRecord* job : order) {
-    const config::Team* team = settings_.team(job->spec.team);
-    double& gpus = asked[job->spec.team];
-    gpus += (job->spec.tasks - job->finished_count) * job->spec.gpus;
-    if (team && gpus <= team->gpus) result.insert(job);
-  }
-  return result;
-}
-
-std::vector<JobRecord*> Controller::update_jobs() {
-  snapshot_.jobs.clear();
-  std::vector<JobRecord*> jobs;
-  const Ms now = runtime_.now();
-  const auto guaranteed = guaranteed_jobs();
-  for (auto& [id, job] : jobs_) {
-    if (job->ending || job->hint == job->spec.tasks) continue;
-    const bool gang = job->gang();
-    if (gang && !job->attempts.empty()) continue;  // the next attempt waits for all of the last
-    sched::JobView v;
-    // A job that fails everywhere takes room for one task, to see whether it still does.
-    const bool one = job->broken() && job->running == 0 && !gang;
-    if (one && !job->attempts.empty()) continue;
-    const std::size_t most = one ? 1 : kPassTasks;
-    for (std::uint32_t t = job->hint; t < job->spec.tasks && v.pending.size() < most; ++t) {
-      if (!job->taken[t]) v.pending.push_back(t);
-      // A gang is placed whole, however large.
-      if (gang && v.pending.size() == kPassTasks && job->spec.tasks > kPassTasks) {
-        for (++t; t < job->spec.tasks; ++t) v.pending.push_back(t);
-      }
-    }
-    if (v.pending.empty()) {
-      job->hint = job->spec.tasks;
-      continue;
-    }
-    job->hint = v.pending.front();
-    v.id = id;
-    v.team = job->spec.team;
-    v.kind = job->spec.kind;
-    v.priority = job->spec.priority;
-    v.created_ms = job->created_ms;
-    v.need = need_of(job->spec);
-    v.types = &job->spec.types;
-    v.zone = job->spec.zone;
-    v.one_zone = job->spec.one_zone;
-    v.spread = job->spec.spread;
-    v.spot = job->spec.spot;
-    v.image = job->spec.image;
-    v.wait_budget_s = wait_budget_s(*job);
-    v.urgent = arrivals_.contains(job->spec.klass);
-    v.guaranteed = guaranteed.contains(job.get());
-    v.turn = v.guaranteed ? 0 : 1;
-    v.tasks = job->spec.tasks;
-    for (const auto& [task, c] : job->attempts) ++v.placed[c.machine->zone];
-    v.blocked = now < job->retry_at;
-    // Where a copy of an earlier attempt's start may still come late, that attempt is not
-    // forgotten, and would be in the way of this one.
-    for (auto left = job->unreaped_attempts.begin(); left != job->unreaped_attempts.end();) {
-      const Machine* m = fleet_.find(left->second);
-      const auto e =
-          m ? m->started.lower_bound({id, left->first, 0}) : decltype(m->started.end())();
-      const bool there = m && e != m->started.end() && e->task_id() == TaskId{id, left->first};
-      if (there && m->slot != Machine::kNoSlot) v.avoid.insert({left->first, m->slot});
-      left = there ? std::next(left) : job->unreaped_attempts.erase(left);
-    }
-    v.whole_only = job->whole_only;
-    for (const auto& [task, name] : job->held) {
-      const Machine* m = fleet_.find(name);
-      if (!m || m->slot == Machine::kNoSlot || v.blocked) continue;
-      sched::MachineView& machine = snapshot_.machines[m->slot];
-      if (!machine.open) continue;
-      machine.free -= v.need;
-      snapshot_.teams[v.team].cpus += v.need.cpus;
-      snapshot_.teams[v.team].gpus += v.need.gpus;
-      v.held.push_back({task, m->slot});
-    }
-    snapshot_.jobs.push_back(std::move(v));
-    jobs.push_back(job.get());
-  }
-  return jobs;
-}
-
-// A gang that timed out holds nothing until all of it fits, and would starve while smaller ones
-// take what comes free. So the first such gang in the queue goes on holding, one for each zone:
-// what comes free there goes to it, and what it lacks is rented there. It moves on if that takes
-// too long.
-void Controller::keep_zones(const std::vector<JobRecord*>& jobs) {
-  const Ms now = runtime_.now();
-  std::set<std::string> taken;
-  for (const std::size_t j : sched::queue_order(snapshot_.jobs)) {
-    JobRecord& job = *jobs[j];
-    sched::JobView& v = snapshot_.jobs[j];
-    if (!job.gang() || !v.one_zone || !job.whole_only || v.blocked) continue;
-    const bool late = now - job.kept_since > net::ms(kKeptBoots * longest_boot_s());
-    if (job.kept_zone.empty() || late || taken.contains(job.kept_zone)) {
-      std::map<std::string, std::uint32_t>
-          hosts;  // machines that could take a task, were they empty
-      for (const sched::MachineView& m : snapshot_.machines)
-        if ((m.open || m.booting) && !taken.contains(m.zone) &&
-            sched::allowed(v, m.type, m.zone, m.spot) && sched::capacity(v.need, m.total) > 0)
-          ++hosts[m.zone];
-      if (late) hosts.erase(job.kept_zone);
-      std::string best;
-      for (const auto& [zone, n] : hosts)
-        if (best.empty() || n > hosts[best]) best = zone;
-      if (best.empty()) continue;
-      job.kept_zone = best;
-      job.kept_since = now;
-    }
-    taken.insert(job.kept_zone);
-    v.kept_zone = job.kept_zone;
-    v.whole_only = false;
-  }
-}
-
 double Controller::longest_boot_s() const {
   double longest = 0;
   for (const auto& [name, t] : types_.types()) longest = std::max(longest, t.boot_s);
@@ -510,122 +294,4 @@
   }
 }
 
-// No worker reaches this node, though the state service does: each is sent back to it by all others
-// until its lease is over. Two ticks in a row, since after standing still everything looks silent
-// until the sockets have been read.
-bool Controller::is_isolated() {
-  const Ms now = runtime_.now();
-  const bool in_time = now - ticked_ < net::ms(settings_.report_s);
-  ticked_ = now;
-  std::size_t due = 0;
-  std::size_t silent = 0;
-  for (const auto& [name, m] : fleet_.machines()) {
-    // (Those that never heard this leader may all be dead, with copies of their reports on the
-    // way: making way for that would go round for ever.)
-    if (m.deleting || !m.up) continue;
-    ++due;
-    silent += now - m.heard > net::ms(kIsolatedReports * settings_.report_s) ? 1 : 0;
-  }
-  const bool most_silent = static_cast<double>(silent) >= kIsolatedShare * static_cast<double>(due);
-  isolated_ticks_ = in_time && due >= kIsolatedLeast && most_silent ? isolated_ticks_ + 1 : 0;
-  return isolated_ticks_ >= 2;
-}
-
-void Controller::tick() {
-  const std::uint64_t term = term_;
-  runtime_.after(net::ms(settings_.report_s / 3), [this, term] {
-    if (term != term_) return;
-    tick();
-  });
-  if (!ready()) return;
-  if (is_isolated() && election_.resign()) return;
-  release_expired();
-  for (auto& [klass, a] : arrivals_)
-    while (a.recent.size() > kMaxArrivals) a.recent.pop_front();
-  expire_holds();
-  std::set<std::string> kept = kept_;
-  for (const auto& [id, job] : jobs_)
-    for (const auto& [task, name] : job->held) kept.insert(name);
-  drain_noticed();
-  if (spdlog::should_log(spdlog::level::debug)) log_use();
-  fleet_.tick(kept);
-  request_pass();
-}
-
-// What is on a machine that has been silent for longer than its worker's lease.
-void Controller::release_expired() {
-  const Ms lease = net::ms(settings_.lease_s);
-  // Twice the drift of 0.05% each way, and a little.
-  const Ms margin = lease / 500 + 50;
-  const ExpiryTimes times{lease + margin, net::ms(settings_.cancel_s) + margin};
-  std::vector<Machine*> expired;
-  for (auto& [name, m] : fleet_.machines()) {
-    if (m.attempts.empty()) continue;
-    const bool confirmed = m.heard >= 0 && m.token >= election_.warrant();
-    if (attempts_.lease_expired(m, began_, confirmed, times)) expired.push_back(&m);
-  }
-  for (Machine* m : expired) machine_gone(*m);
-}
-
-// A gang that has held room for too long gives it back.
-void Controller::expire_holds() {
-  const Ms now = runtime_.now();
-  for (auto& [id, job] : jobs_) {
-    if (job->held.empty() || job->whole_only) continue;
-    if (now - job->held_since <= net::ms(operator_.hold_timeout_s)) continue;
-    job->held.clear();
-    job->whole_only = true;
-    request_pass();
-  }
-}
-
-// By machine type: what is paid for, and what it is used for.
-void Controller::log_use() const {
-  struct Use {
-    int up = 0, booting = 0, idle = 0, closed = 0, starting = 0, waiting = 0, running = 0;
-  };
-  std::map<std::string, Use> by_type;
-  for (const auto& [name, m] : fleet_.machines()) {
-    Use& u = by_type[m.type];
-    ++(m.up ? u.up : u.booting);
-    if (!m.up) continue;
-    if (m.attempts.empty()) ++u.idle;
-    if (m.draining || m.deleting || m.taken_at) ++u.closed;
-    for (const auto& [key, c] : m.attempts)
-      ++(c->state == TaskState::running   ? u.running
-         : c->state == TaskState::waiting ? u.waiting
-                                          : u.starting);
-  }
-  for (const auto& [type, u] : by_type)
-    spdlog::debug(
-        "{}: {} up, {} not yet, {} idle, {} closed; tasks {} starting, {} waiting, {} running",
-        type, u.up, u.booting, u.idle, u.closed, u.starting, u.waiting, u.running);
-}
-
-// Before the cloud takes a spot machine, what can save is told to.
-void Controller::drain_noticed() {
-  const Ms now = runtime_.now();
-  std::vector<TaskAttempt*> singles;
-  std::map<std::string, JobRecord*> gangs;
-  for (auto& [name, m] : fleet_.machines()) {
-    if (!m.taken_at) continue;
-    for (const auto& [key, c] : m.attempts) {
-      const wire::Job& spec = c->job->spec;
-      if (c->stop || !c->sent || spec.checkpoint_s <= 0) continue;
-      const double margin = spec.save_s + settings_.gang_peer_s + settings_.report_s;
-      if (now + net::ms(margin) < *m.taken_at) continue;
-      if (c->job->gang()) {
-        gangs.emplace(spec.id, c->job);
-      } else {
-        stop_to_save(*c);
-        singles.push_back(c);
-      }
-    }
-  }
-  send_stops(singles);
-  for (const auto& [id, job] : gangs) {
-    stop_all(*job, job->spec.save_s + settings_.gang_peer_s);
-  }
-}
-
 }  // namespace seampass::leader
--- /dev/null
+++ b/src/leader/upkeep.cc
@@ -0,0 +1,144 @@
+// What the Controller does at regular intervals: leases that ended, holds, spot notices, making
+// way.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "leader/controller.h"
+
+namespace seampass::leader {
+
+using net::Ms;
+using wire::TaskState;
+
+namespace {
+
+// A leader makes way if so large a share of its machines, and at least so many, said nothing for so
+// many report intervals.
+constexpr double kIsolatedShare = 0.9;
+constexpr std::size_t kIsolatedLeast = 3;
+constexpr double kIsolatedReports = 1.6;
+// Arrivals of a class that are remembered.
+constexpr std::size_t kMaxArrivals = 500;
+
+}  // namespace
+
+// No worker reaches this node, though the state service does: each is sent back to it by all others
+// until its lease is over. Two ticks in a row, since after standing still everything looks silent
+// until the sockets have been read.
+bool Controller::is_isolated() {
+  const Ms now = runtime_.now();
+  const bool in_time = now - ticked_ < net::ms(settings_.report_s);
+  ticked_ = now;
+  std::size_t due = 0;
+  std::size_t silent = 0;
+  for (const auto& [name, m] : fleet_.machines()) {
+    // (Those that never heard this leader may all be dead, with copies of their reports on the
+    // way: making way for that would go round for ever.)
+    if (m.deleting || !m.up) continue;
+    ++due;
+    silent += now - m.heard > net::ms(kIsolatedReports * settings_.report_s) ? 1 : 0;
+  }
+  const bool most_silent = static_cast<double>(silent) >= kIsolatedShare * static_cast<double>(due);
+  isolated_ticks_ = in_time && due >= kIsolatedLeast && most_silent ? isolated_ticks_ + 1 : 0;
+  return isolated_ticks_ >= 2;
+}
+
+void Controller::tick() {
+  const std::uint64_t term = term_;
+  runtime_.after(net::ms(settings_.report_s / 3), [this, term] {
+    if (term != term_) return;
+    tick();
+  });
+  if (!ready()) return;
+  if (is_isolated() && election_.resign()) return;
+  release_expired();
+  for (auto& [klass, a] : arrivals_)
+    while (a.recent.size() > kMaxArrivals) a.recent.pop_front();
+  expire_holds();
+  std::set<std::string> kept = kept_;
+  for (const auto& [id, job] : jobs_)
+    for (const auto& [task, name] : job->held) kept.insert(name);
+  drain_noticed();
+  if (spdlog::should_log(spdlog::level::debug)) log_use();
+  fleet_.tick(kept);
+  request_pass();
+}
+
+// What is on a machine that has been silent for longer than its worker's lease.
+void Controller::release_expired() {
+  const Ms lease = net::ms(settings_.lease_s);
+  // Twice the drift of 0.05% each way, and a little.
+  const Ms margin = lease / 500 + 50;
+  const ExpiryTimes times{lease + margin, net::ms(settings_.cancel_s) + margin};
+  std::vector<Machine*> expired;
+  for (auto& [name, m] : fleet_.machines()) {
+    if (m.attempts.empty()) continue;
+    const bool confirmed = m.heard >= 0 && m.token >= election_.warrant();
+    if (attempts_.lease_expired(m, began_, confirmed, times)) expired.push_back(&m);
+  }
+  for (Machine* m : expired) machine_gone(*m);
+}
+
+// A gang that has held room for too long gives it back.
+void Controller::expire_holds() {
+  const Ms now = runtime_.now();
+  for (auto& [id, job] : jobs_) {
+    if (job->held.empty() || job->whole_only) continue;
+    if (now - job->held_since <= net::ms(operator_.hold_timeout_s)) continue;
+    job->held.clear();
+    job->whole_only = true;
+    request_pass();
+  }
+}
+
+// By machine type: what is paid for, and what it is used for.
+void Controller::log_use() const {
+  struct Use {
+    int up = 0, booting = 0, idle = 0, closed = 0, starting = 0, waiting = 0, running = 0;
+  };
+  std::map<std::string, Use> by_type;
+  for (const auto& [name, m] : fleet_.machines()) {
+    Use& u = by_type[m.type];
+    ++(m.up ? u.up : u.booting);
+    if (!m.up) continue;
+    if (m.attempts.empty()) ++u.idle;
+    if (m.draining || m.deleting || m.taken_at) ++u.closed;
+    for (const auto& [key, c] : m.attempts)
+      ++(c->state == TaskState::running   ? u.running
+         : c->state == TaskState::waiting ? u.waiting
+                                          : u.starting);
+  }
+  for (const auto& [type, u] : by_type)
+    spdlog::debug(
+        "{}: {} up, {} not yet, {} idle, {} closed; tasks {} starting, {} waiting, {} running",
+        type, u.up, u.booting, u.idle, u.closed, u.starting, u.waiting, u.running);
+}
+
+// Before the cloud takes a spot machine, what can save is told to.
+void Controller::drain_noticed() {
+  const Ms now = runtime_.now();
+  std::vector<TaskAttempt*> singles;
+  std::map<std::string, JobRecord*> gangs;
+  for (auto& [name, m] : fleet_.machines()) {
+    if (!m.taken_at) continue;
+    for (const auto& [key, c] : m.attempts) {
+      const wire::Job& spec = c->job->spec;
+      if (c->stop || !c->sent || spec.checkpoint_s <= 0) continue;
+      const double margin = spec.save_s + settings_.gang_peer_s + settings_.report_s;
+      if (now + net::ms(margin) < *m.taken_at) continue;
+      if (c->job->gang()) {
+        gangs.emplace(spec.id, c->job);
+      } else {
+        stop_to_save(*c);
+        singles.push_back(c);
+      }
+    }
+  }
+  send_stops(singles);
+  for (const auto& [id, job] : gangs) {
+    stop_all(*job, job->spec.save_s + settings_.gang_peer_s);
+  }
+}
+
+}  // namespace seampass::leader
