--- a/src/leader/absence.cc
+++ b/src/leader/absence.cc
@@ -25,8 +25,7 @@
 void Controller::take_inspection(Machine& machine, const wire::WorkerReport& report,
                                  const std::vector<AttemptId>& asked) {
   std::map<AttemptId, const wire::TaskReport*> present;
-  for (const wire::TaskReport& task : report.tasks)
-    present[{task.job, task.index, task.attempt}] = &task;
+  for (const wire::TaskReport& task : report.tasks) present[id_of(task)] = &task;
   std::vector<TaskAttempt*> gone;
   std::vector<AttemptId> exited;
   for (const AttemptId& id : asked) {
--- a/src/leader/attempts.cc
+++ b/src/leader/attempts.cc
@@ -20,10 +20,10 @@
 }  // namespace
 
 TaskAttempt* Controller::find_attempt(const std::string& job, std::uint32_t task) {
-  const auto record = jobs_.find(job);
-  if (record == jobs_.end()) return nullptr;
-  const auto attempt = record->second->attempts.find(task);
-  return attempt == record->second->attempts.end() ? nullptr : &attempt->second;
+  JobRecord* record = find_job(job);
+  if (!record) return nullptr;
+  const auto attempt = record->attempts.find(task);
+  return attempt == record->attempts.end() ? nullptr : &attempt->second;
 }
 
 TaskAttempt* Controller::find_attempt(const AttemptId& id) {
@@ -40,7 +40,7 @@
   request_pass();
 }
 
-// Releasing can end jobs and so erase others of these, so that what follows goes by name.
+// Releasing the last attempt of a job can end and erase it, so that what follows goes by name.
 void Controller::release_lost(const std::vector<TaskAttempt*>& lost) {
   std::set<std::string> jobs;
   for (TaskAttempt* attempt : lost) {
--- a/src/leader/cluster_view.cc
+++ b/src/leader/cluster_view.cc
@@ -221,8 +221,8 @@
     if (!job.gang() || !v.one_zone || !job.whole_only || v.blocked) continue;
     const bool late = now - job.kept_since > net::ms(kKeptBoots * longest_boot_s());
     if (job.kept_zone.empty() || late || taken.contains(job.kept_zone)) {
-      std::map<std::string, std::uint32_t>
-          hosts;  // machines that could take a task, were they empty
+      // Machines that could take a task, were they empty.
+      std::map<std::string, std::uint32_t> hosts;
       for (const sched::MachineView& m : snapshot_.machines)
         if ((m.open || m.booting) && !taken.contains(m.zone) &&
             sched::allowed(v, m.type, m.zone, m.spot) && sched::capacity(v.need, m.total) > 0)
--- a/src/leader/commands.cc
+++ b/src/leader/commands.cc
@@ -17,9 +17,8 @@
 void Controller::send_stops(const std::vector<TaskAttempt*>& attempts) {
   std::map<Machine*, std::vector<wire::Command>, ByName> by_machine;
   for (const TaskAttempt* attempt : attempts) {
-    const AttemptId id = attempt->id();
     by_machine[attempt->machine].push_back(
-        {Verb::stop, id.job, id.task, id.attempt, attempt->grace_s});
+        command_for(Verb::stop, attempt->id(), attempt->grace_s));
   }
   for (const auto& [machine, commands] : by_machine) send(*machine, commands);
 }
@@ -28,8 +27,7 @@
   if (machine.addr.empty() || !machine.up) return;  // the next heartbeat's answer carries them
   std::vector<AttemptId> starts;
   for (const wire::Command& command : commands)
-    if (command.verb == Verb::start)
-      starts.push_back({command.job, command.index, command.attempt});
+    if (command.verb == Verb::start) starts.push_back(id_of(command));
   machine.started.insert(starts.begin(), starts.end());
   // A worker that began anew just now runs what it is told until its own lease is over, whether its
   // answer comes or not.
@@ -113,9 +111,8 @@
                            std::vector<wire::Command>& commands) {
   for (auto ended = machine.exited.lower_bound({id.job, id.task, 0});
        ended != machine.exited.end() && ended->task_id() == id.task_id(); ++ended)
-    if (!machine.started.contains(*ended))
-      commands.push_back({Verb::forget, id.job, id.task, ended->attempt, 0});
-  commands.push_back({Verb::start, id.job, id.task, id.attempt, 0});
+    if (!machine.started.contains(*ended)) commands.push_back(command_for(Verb::forget, *ended));
+  commands.push_back(command_for(Verb::start, id));
 }
 
 }  // namespace seampass::leader
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -91,7 +91,7 @@
 
 // ---- Jobs ----
 
-JobRecord* Controller::find_job(const std::string& id) {
+JobRecord* Controller::find_job(const std::string& id) const {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : it->second.get();
 }
@@ -163,9 +163,9 @@
     // Whoever asked is told soon to come again, while the rest goes on.
     const std::uint64_t term = term_;
     runtime_.after(net::ms(settings_.report_s / 3), [this, term, id] {
-      const auto late = jobs_.find(id);
-      if (term != term_ || late == jobs_.end()) return;
-      for (const auto& w : std::exchange(late->second->waiters, {})) w({});
+      JobRecord* late = term == term_ ? find_job(id) : nullptr;
+      if (!late) return;
+      for (const auto& w : std::exchange(late->waiters, {})) w({});
     });
     if (!job.ending) cancel_job(job);
     return;
@@ -211,17 +211,15 @@
 }
 
 void Controller::verdict(const std::string& id, wire::Stage stage) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return;
-  JobRecord& job = *it->second;
+  JobRecord* found = find_job(id);
+  if (!found) return;
+  JobRecord& job = *found;
   job.ending = job.concluding = job.ended = true;
   job.stage = stage;
   spdlog::debug("ended {}, {}", id, wire::stage_name(stage));
   const rpc::Answer answer = status_of(job);
   status_reader_.remember(answer.status);
-  const auto waiters = std::move(job.waiters);
-  job.waiters.clear();
-  for (const auto& w : waiters) w(answer);
+  for (const auto& w : std::exchange(job.waiters, {})) w(answer);
   stop_all(job, 0);
   erase_if_settled(id);
   request_pass();
@@ -230,15 +228,14 @@
 // A job that was called off ends once every task is off; an ended one stays until then, and until
 // its records are gone.
 void Controller::erase_if_settled(const std::string& id) {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end() || !it->second->attempts.empty()) return;
-  if (it->second->ending && !it->second->concluding) conclude(*it->second);
-  if (!it->second->ended) return;
+  JobRecord* job = find_job(id);
+  if (!job || !job->attempts.empty()) return;
+  if (job->ending && !job->concluding) conclude(*job);
+  if (!job->ended) return;
   const auto erase = [this, id] {
-    const auto job = jobs_.find(id);
-    if (job == jobs_.end() || !records_.settled(id)) return;
+    if (!jobs_.contains(id) || !records_.settled(id)) return;
     records_.forget(id);
-    jobs_.erase(job);
+    jobs_.erase(id);
   };
   for (const std::uint32_t c : records_.chunks(id))
     records_.changed(id, c, Urgency::progress, erase);
@@ -246,9 +243,9 @@
 }
 
 std::optional<Json> Controller::render(const std::string& id, std::uint32_t chunk) const {
-  const auto it = jobs_.find(id);
-  if (it == jobs_.end()) return std::nullopt;
-  const JobRecord& job = *it->second;
+  const JobRecord* found = find_job(id);
+  if (!found) return std::nullopt;
+  const JobRecord& job = *found;
   const std::uint32_t from = chunk * chunk_tasks_;
   const std::uint32_t to = std::min(from + chunk_tasks_, job.spec.tasks);
   Json tasks = Json::array();
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -64,7 +64,7 @@
   void watch();
 
   // Jobs.
-  JobRecord* find_job(const std::string& id);
+  JobRecord* find_job(const std::string& id) const;
   void accepted(const std::string& id, const wire::Json& record, state::Version version);
   static void finish_task(JobRecord& job, std::uint32_t task);
   void maybe_done(JobRecord& job);
@@ -143,7 +143,7 @@
   void tick();
   bool is_isolated();
   void release_expired();
-  void expire_holds();
+  std::set<std::string> expire_holds();
   void drain_noticed();
   void log_use() const;
 
--- a/src/leader/fleet.cc
+++ b/src/leader/fleet.cc
@@ -62,9 +62,13 @@
 }
 
 void Fleet::remove(Machine& machine) {
+  mark_for_removal(machine);
+  flush_removals();
+}
+
+void Fleet::mark_for_removal(Machine& machine) {
   machine.deleting = true;
   to_delete_.insert(machine.name);
-  flush_removals();
 }
 
 void Fleet::flush_removals() {
@@ -139,6 +143,15 @@
   return silence(machine) > net::ms(kSilentShare * settings_.lease_s);
 }
 
+bool Fleet::is_overdue(const Machine& machine) const {
+  return silence(machine) > net::ms(kOverdueReports * settings_.report_s);
+}
+
+double Fleet::boot_s(const Machine& machine) const {
+  const wire::MachineType* type = types_.find(machine.type);
+  return type ? type->boot_s : settings_.lease_s;
+}
+
 std::map<std::string, Fleet::ZoneHealth> Fleet::zone_health() const {
   const Ms now = runtime_.now();
   std::map<std::string, ZoneHealth> zones;
@@ -148,7 +161,7 @@
     if (m.up) {
       ++zone.up;
       zone.silent += is_silent(m) ? 1 : 0;
-      zone.overdue += silence(m) > net::ms(kOverdueReports * settings_.report_s) ? 1 : 0;
+      zone.overdue += is_overdue(m) ? 1 : 0;
     } else if (m.listed_up >= 0 &&
                now - std::max(m.listed_up, m.heard) > net::ms(settings_.lease_s) / 2) {
       ++zone.unheard;
@@ -172,9 +185,8 @@
 // A machine that this leader has not heard is booting, gone for good, or up for long and about to
 // find this leader, which takes a worker up to a report's interval and a try at each other node.
 bool Fleet::is_given_up(const Machine& machine) const {
-  const wire::MachineType* type = types_.find(machine.type);
   const Ms lease = net::ms(settings_.lease_s);
-  const Ms patience = net::ms(kBootPatience * (type ? type->boot_s : settings_.lease_s));
+  const Ms patience = net::ms(kBootPatience * boot_s(machine));
   const Ms now = runtime_.now();
   return now - machine.since > patience &&
          now - began_ > (machine.attempts.empty() ? lease : std::max(lease, patience));
@@ -184,11 +196,10 @@
 // their reports at once the network is the likelier cause, this leader's own perhaps, and their
 // work may yet come back within the lease. (Machines become silent one after the other, by when
 // each was heard last: the first of many would look alone if only the silent ones were counted.)
-bool Fleet::is_lost(const Machine& machine, const ZoneHealth& zone) const {
-  if (!is_silent(machine)) return false;
+bool Fleet::is_lost(const Machine& silent, const ZoneHealth& zone) const {
   const bool alone = zone.overdue * 3 <= zone.up || zone.overdue == 1;
   const Ms lease = net::ms(settings_.lease_s);
-  return alone || silence(machine) > lease + lease / 50;
+  return alone || silence(silent) > lease + lease / 50;
 }
 
 bool Fleet::is_surplus(Machine& machine, bool kept) {
@@ -197,10 +208,8 @@
     machine.idle_since = now;
     return false;
   }
-  const wire::MachineType* type = types_.find(machine.type);
-  const double boot_s = type ? type->boot_s : settings_.lease_s;
   return machine.draining || machine.taken_at ||
-         now - machine.idle_since > net::ms(operator_.idle_return * boot_s);
+         now - machine.idle_since > net::ms(operator_.idle_return * boot_s(machine));
 }
 
 void Fleet::tick(const std::set<std::string>& kept) {
@@ -219,8 +228,7 @@
     }
     if (!unwanted) continue;
     spdlog::debug("returning {} ({}, up {}, {} tasks)", m.name, m.type, m.up, m.attempts.size());
-    m.deleting = true;
-    to_delete_.insert(name);
+    mark_for_removal(m);
   }
   flush_removals();
 }
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -91,6 +91,8 @@
 
   // Returns machines to the cloud; `gone` follows once it has confirmed.
   void remove(Machine& machine);
+  // Whether a report of this machine should have come.
+  bool is_overdue(const Machine& machine) const;
   // Idle, overdue and silent machines.
   void tick(const std::set<std::string>& kept);
 
@@ -117,11 +119,13 @@
   std::map<std::string, ZoneHealth> zone_health() const;
   void update_cut_zones(const std::map<std::string, ZoneHealth>& zones);
   bool is_given_up(const Machine& machine) const;
-  bool is_lost(const Machine& machine, const ZoneHealth& zone) const;
+  bool is_lost(const Machine& silent, const ZoneHealth& zone) const;
+  double boot_s(const Machine& machine) const;
   bool is_surplus(Machine& machine, bool kept);
 
   void poll_list(const std::string& after);
   void take_list(const wire::MachinePage& page);
+  void mark_for_removal(Machine& machine);
   void flush_removals();
 
   net::Runtime& runtime_;
--- a/src/leader/heartbeats.cc
+++ b/src/leader/heartbeats.cc
@@ -11,6 +11,13 @@
 using wire::TaskState;
 using wire::Verb;
 
+namespace {
+// Than the last report that was taken from this machine.
+bool is_newer(const wire::WorkerReport& report, const Machine& machine) {
+  return std::pair(report.session, report.seq) > std::pair(machine.session, machine.seq);
+}
+}  // namespace
+
 CheckinAnswer Controller::checkin(const wire::WorkerReport& report) {
   if (!active_ || !election_.may_answer()) return {503, "{}"};
   if (report.token > election_.warrant()) {  // another leads already
@@ -45,23 +52,21 @@
   machine.checkin = heartbeat;
   machine.note_heartbeat(runtime_.now());
   // (The answer to a command may have overtaken it.)
-  const bool newer = report.session > machine.session || report.seq > machine.seq;
-  if (!loaded_ || !newer) return {200, wire::checkin_answer(election_.warrant(), {})};
+  if (!loaded_ || !is_newer(report, machine))
+    return {200, wire::checkin_answer(election_.warrant(), {})};
   take_report(machine, report, true);
   return {200, wire::checkin_answer(election_.warrant(), orders_for(machine, report))};
 }
 
 void Controller::take_report(Machine& machine, const wire::WorkerReport& report, bool heartbeat) {
-  const bool newer = report.session > machine.session ||
-                     (report.session == machine.session && report.seq > machine.seq);
-  if (!newer || report.token < election_.warrant()) return;
+  if (!is_newer(report, machine) || report.token < election_.warrant()) return;
   take_machine_state(machine, report);
   std::set<TaskId> reported;
   std::vector<const wire::TaskReport*> exited;
   machine.unknown_tasks = 0;
   machine.exited.clear();
   for (const wire::TaskReport& task : report.tasks) {
-    const AttemptId id{task.job, task.index, task.attempt};
+    const AttemptId id = id_of(task);
     if (task.state == TaskState::exited) machine.exited.insert(id);
     TaskAttempt* attempt = find_on(machine, id);
     if (!attempt && task.state != TaskState::exited) attempt = adopt(machine, id);
@@ -120,7 +125,7 @@
   std::set<std::string> jobs;
   for (const wire::TaskReport* task : exited) {
     jobs.insert(task->job);
-    TaskAttempt* attempt = find_on(machine, {task->job, task->index, task->attempt});
+    TaskAttempt* attempt = find_on(machine, id_of(*task));
     if (attempt) task_exited(*attempt, *task);
   }
   for (const std::string& id : jobs)
@@ -132,10 +137,10 @@
 // another runs elsewhere, and any of a cancelled job. (One that is done would only say so again,
 // but its job may be cancelled yet.)
 bool Controller::may_forget(const Machine& machine, const wire::TaskReport& task) const {
-  if (!machine.started.contains({task.job, task.index, task.attempt})) return true;
+  if (!machine.started.contains(id_of(task))) return true;
   if (task.cause != ExitCause::done) return false;
-  const auto job = jobs_.find(task.job);
-  if (job != jobs_.end() && !job->second->ended) return false;
+  const JobRecord* job = find_job(task.job);
+  if (job && !job->ended) return false;
   const auto final_status = status_reader_.verdict(task.job);
   return final_status && final_status->stage == wire::Stage::done;
 }
@@ -146,25 +151,25 @@
   std::set<TaskId> reported;
   const Ms now = runtime_.now();
   for (const wire::TaskReport& task : report.tasks) {
-    const AttemptId id{task.job, task.index, task.attempt};
+    const AttemptId id = id_of(task);
     const TaskAttempt* attempt = find_on(machine, id);
     if (task.state == TaskState::exited) {
       // Forgotten only after the record of its end is durable.
       if (!attempt && records_.settled(id.job, chunk_of(id.task)) && may_forget(machine, task)) {
         machine.started.erase(id);
-        orders.push_back({Verb::forget, id.job, id.task, id.attempt, 0});
+        orders.push_back(command_for(Verb::forget, id));
       }
       continue;
     }
     if (!attempt) {
-      orders.push_back({Verb::stop, id.job, id.task, id.attempt, 0});
+      orders.push_back(command_for(Verb::stop, id));
       continue;
     }
     reported.insert(id.task_id());
     if (!attempt->stop) continue;
     const bool overdue =
         now - attempt->stop_since > net::ms(attempt->grace_s + 2 * settings_.gang_peer_s);
-    orders.push_back({Verb::stop, id.job, id.task, id.attempt, overdue ? 0 : attempt->grace_s});
+    orders.push_back(command_for(Verb::stop, id, overdue ? 0 : attempt->grace_s));
   }
   if (election_.holds()) add_starts(machine, reported, orders);
   return orders;
@@ -179,12 +184,12 @@
     if (attempt->in_flight > 0 || attempt->session != machine.session) continue;
     if (attempt->job->ending && !attempt->stop) continue;
     attempt->start_sent_at = runtime_.now();
-    orders.push_back({Verb::start, task.job, task.task, attempt->number, 0});
+    orders.push_back(command_for(Verb::start, attempt->id()));
     if (attempt->stop) {
       // It was never seen, and its start may come at any time. Started and stopped in one go, the
       // attempt is known to the worker, the late start does nothing, and the next report has it as
       // ended.
-      orders.push_back({Verb::stop, task.job, task.task, attempt->number, 0});
+      orders.push_back(command_for(Verb::stop, attempt->id()));
     } else {
       attempt->sent = true;
     }
--- a/src/leader/ids.h
+++ b/src/leader/ids.h
@@ -5,6 +5,8 @@
 #include <string>
 #include <tuple>
 
+#include "wire/types.h"
+
 namespace seampass::leader {
 
 struct TaskId {
@@ -28,4 +30,16 @@
   }
 };
 
+inline AttemptId id_of(const wire::TaskReport& report) {
+  return {report.job, report.index, report.attempt};
+}
+
+inline AttemptId id_of(const wire::Command& command) {
+  return {command.job, command.index, command.attempt};
+}
+
+inline wire::Command command_for(wire::Verb verb, const AttemptId& id, double grace_s = 0) {
+  return {verb, id.job, id.task, id.attempt, grace_s};
+}
+
 }  // namespace seampass::leader
--- a/src/leader/upkeep.cc
+++ b/src/leader/upkeep.cc
@@ -13,11 +13,10 @@
 
 namespace {
 
-// A leader makes way if so large a share of its machines, and at least so many, said nothing for so
-// many report intervals.
+// A leader makes way if reports of so large a share of its machines, and at least so many, are
+// overdue.
 constexpr double kIsolatedShare = 0.9;
 constexpr std::size_t kIsolatedLeast = 3;
-constexpr double kIsolatedReports = 1.6;
 // Arrivals of a class that are remembered.
 constexpr std::size_t kMaxArrivals = 500;
 
@@ -37,7 +36,7 @@
     // way: making way for that would go round for ever.)
     if (m.deleting || !m.up) continue;
     ++due;
-    silent += now - m.heard > net::ms(kIsolatedReports * settings_.report_s) ? 1 : 0;
+    silent += fleet_.is_overdue(m) ? 1 : 0;
   }
   const bool most_silent = static_cast<double>(silent) >= kIsolatedShare * static_cast<double>(due);
   isolated_ticks_ = in_time && due >= kIsolatedLeast && most_silent ? isolated_ticks_ + 1 : 0;
@@ -55,10 +54,8 @@
   release_expired();
   for (auto& [klass, a] : arrivals_)
     while (a.recent.size() > kMaxArrivals) a.recent.pop_front();
-  expire_holds();
-  std::set<std::string> kept = kept_;
-  for (const auto& [id, job] : jobs_)
-    for (const auto& [task, name] : job->held) kept.insert(name);
+  std::set<std::string> kept = expire_holds();
+  kept.insert(kept_.begin(), kept_.end());
   drain_noticed();
   if (spdlog::should_log(spdlog::level::debug)) log_use();
   fleet_.tick(kept);
@@ -80,16 +77,20 @@
   for (Machine* m : expired) machine_gone(*m);
 }
 
-// A gang that has held room for too long gives it back.
-void Controller::expire_holds() {
+// A gang that has held room for too long gives it back. The machines that are held still.
+std::set<std::string> Controller::expire_holds() {
   const Ms now = runtime_.now();
+  std::set<std::string> held;
   for (auto& [id, job] : jobs_) {
-    if (job->held.empty() || job->whole_only) continue;
-    if (now - job->held_since <= net::ms(operator_.hold_timeout_s)) continue;
-    job->held.clear();
-    job->whole_only = true;
-    request_pass();
+    if (!job->held.empty() && !job->whole_only &&
+        now - job->held_since > net::ms(operator_.hold_timeout_s)) {
+      job->held.clear();
+      job->whole_only = true;
+      request_pass();
+    }
+    for (const auto& [task, name] : job->held) held.insert(name);
   }
+  return held;
 }
 
 // By machine type: what is paid for, and what it is used for.
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -17,6 +17,8 @@
 // A job is looked up under at most two keys.
 constexpr double kReadsPerQuery = 2;
 
+bool is_refusal(const Reply& r) { return r.is(429) || r.is(503); }
+
 Outcome outcome_of(const Reply& r) {
   switch (r.fate) {
     case Reply::Fate::not_sent:
@@ -29,7 +31,7 @@
   if (r.status == 200) return Outcome::ok;
   if (r.status == 404 || r.status == 410) return Outcome::missing;
   if (r.status == 409) return Outcome::conflict;
-  if (r.status == 429 || r.status == 503) return Outcome::refused;
+  if (is_refusal(r)) return Outcome::refused;
   return Outcome::unknown;
 }
 
@@ -67,9 +69,9 @@
       http_(http),
       endpoint_(std::move(endpoint)),
       timeout_(timeout),
-      requests_(rps, rps, rps * kBurstSeconds, runtime.now()),
-      changes_(write_rps, write_rps, write_rps * kBurstSeconds, runtime.now()),
-      queries_(rps, rps * kBurstSeconds, rps * kBurstSeconds, runtime.now()),
+      requests_(rps, rps * kBurstSeconds, runtime.now()),
+      changes_(write_rps, write_rps * kBurstSeconds, runtime.now()),
+      queries_(rps, rps * kBurstSeconds, runtime.now()),
       query_rate_(rps, runtime.now()) {}
 
 void Client::get(const std::string& key, std::function<void(GetResult)> done, Urgency urgency) {
@@ -227,7 +229,7 @@
 void Client::send(Pending p) {
   http_.call(std::move(p.call), [this, done = std::move(p.done)](const Reply& r) {
     const bool answered = r.fate == Reply::Fate::answered;
-    const bool refused = answered && (r.status == 503 || r.status == 429);
+    const bool refused = is_refusal(r);
     failures_ = answered && !refused ? 0 : failures_ + 1;
     if (answered) {
       refill();
--- a/src/state/rate_limiter.h
+++ b/src/state/rate_limiter.h
@@ -10,8 +10,8 @@
 // So many requests a second on average, with bursts of up to `burst` tokens.
 class TokenBucket {
  public:
-  TokenBucket(double per_second, double tokens, double burst, net::Ms now)
-      : per_second_(per_second), tokens_(tokens), burst_(burst), refilled_(now) {}
+  TokenBucket(double per_second, double burst, net::Ms now)
+      : per_second_(per_second), tokens_(burst), burst_(burst), refilled_(now) {}
 
   void refill(net::Ms now) {
     const double seconds = static_cast<double>(now - refilled_) / 1000.0;
--- a/tests/copies_test.cc
+++ b/tests/copies_test.cc
@@ -12,6 +12,8 @@
 
 // A job whose one task keeps the only machine up.
 void keep_busy(World& w) {
+  w.cloud.capacity = 1;
+  ASSERT_TRUE(w.settle());
   w.submit("n0", array_job("wk-900", 1, 400));
   ASSERT_TRUE(w.reaches("wk-900", "running", 30000));
 }
@@ -31,9 +33,7 @@
 // Copies of the commands that started a job, after it was cancelled and all of it was gone.
 TEST(Copies, OfStartsDoNotRunACancelledJob) {
   World w(1, 1);
-  w.cloud.capacity = 1;
-  ASSERT_TRUE(w.settle());
-  keep_busy(w);
+  ASSERT_NO_FATAL_FAILURE(keep_busy(w));
   auto& commands = w.record("/commands");
   w.submit("n0", array_job("wk-1", 1, 100));
   ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
@@ -43,9 +43,7 @@
 // A task that was done before its job was cancelled is not started again either.
 TEST(Copies, OfStartsDoNotRunWhatWasDoneOfACancelledJob) {
   World w(1, 1);
-  w.cloud.capacity = 1;
-  ASSERT_TRUE(w.settle());
-  keep_busy(w);
+  ASSERT_NO_FATAL_FAILURE(keep_busy(w));
   auto& commands = w.record("/commands");
   w.submit("n0", array_job("wk-1", 8, 3));  // one at a time beside the other job
   w.time.run_for(9000);
@@ -273,9 +271,7 @@
 // is cancelled, and the machine is not given up for that.
 TEST(Copies, OfManyStartsOnOneMachineDoNothing) {
   World w(1, 1);
-  w.cloud.capacity = 1;
-  ASSERT_TRUE(w.settle());
-  keep_busy(w);
+  ASSERT_NO_FATAL_FAILURE(keep_busy(w));
   auto& commands = w.record("/commands");
   w.submit("n0", array_job("wk-1", 100, 1));  // one at a time beside the other job
   for (int i = 0; i < 400 && w.judge.done.size() < 50; ++i) w.time.run_for(1000);
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -7,6 +7,15 @@
 namespace seampass::standins {
 namespace {
 
+// Nothing passes to or from these machines, as long as they are in the set.
+void cut_off(World& w, const std::set<std::string>& machines) {
+  w.net.set_rule([&machines](const std::string& from, const net::Call& c) {
+    Fate f;
+    f.never = machines.count(from) != 0 || machines.count(c.endpoint.substr(0, 8)) != 0;
+    return f;
+  });
+}
+
 // Reports of a machine arrive, but answers and commands do not reach it.
 TEST(Trouble, MachineThatHearsNothingKeepsNoWork) {
   World w(1, 2);
@@ -250,11 +259,7 @@
   w.time.run_for(3000);
   // Machines of odd number are in zone a, which is tried first where prices are the same.
   const std::set<std::string> there{"m-000001", "m-000003", "m-000005", "m-000007"};
-  w.net.set_rule([there](const std::string& from, const net::Call& c) {
-    Fate f;
-    f.never = there.count(from) != 0 || there.count(c.endpoint.substr(0, 8)) != 0;
-    return f;
-  });
+  cut_off(w, there);
   w.time.run_for(14000);  // silence takes a while to tell from a lost packet
   w.cloud.rented_in.clear();
   for (int i = 0; i < 6; ++i) {
@@ -280,11 +285,7 @@
   ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
   w.time.run_for(3000);
   std::set<std::string> there{"m-000001"};
-  w.net.set_rule([&there](const std::string& from, const net::Call& c) {
-    Fate f;
-    f.never = there.count(from) != 0 || there.count(c.endpoint.substr(0, 8)) != 0;
-    return f;
-  });
+  cut_off(w, there);
   w.time.run_for(3500);
   there.insert({"m-000003", "m-000005", "m-000007"});
   w.time.run_for(9500);
