--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -20,14 +20,23 @@
   return {ms(s.lease_s / 6), ms(s.cancel_s - s.lease_s - s.report_s / 3), ms(2 * s.lease_s)};
 }
 
+// The limits may change without notice: what is written fits both from the start.
+config::StateLimits limits_of(const config::Settings& s) {
+  return s.state_limits.least(s.next_state_limits);
+}
+
+leader::RecordSpans spans_of(const config::Settings& s) {
+  return leader::RecordSpans::for_values(s.state_limits.value_kb, limits_of(s).value_kb);
+}
+
 }  // namespace
 
 Node::Node(net::Runtime& runtime, net::HttpCaller& http, rpc::PeerTransport& peers,
            config::Settings settings, config::Operator op)
     : settings_(std::move(settings)),
       operator_(std::move(op)),
-      state_(runtime, http, settings_.state, settings_.state_rps * kStoreRequests,
-             settings_.state_write_rps * kStoreChanges, ms(settings_.report_s / 3)),
+      state_(runtime, http, settings_.state, limits_of(settings_).rps * kStoreRequests,
+             limits_of(settings_).write_rps * kStoreChanges, ms(settings_.report_s / 3)),
       cloud_(runtime, http, settings_.cloud, settings_.cloud_rps * 0.7,
              ms(std::max(settings_.report_s, 8 / settings_.cloud_rps))),
       types_(runtime, cloud_, ms(settings_.lease_s * 2), ms(settings_.report_s / 2)),
@@ -36,15 +45,23 @@
       election_(
           runtime, state_, settings_.node, times_of(settings_), [this] { controller_.begin(); },
           [this] { controller_.stop(); }, settings_.peers.size(),
-          [this, &peers](std::uint64_t round) {
-            for (const config::Peer& p : settings_.peers)
-              peers.send(p.node, rpc::Leads{election_.warrant(), round});
-          }),
+          [this, &peers](std::uint64_t round) { announce(peers, round); }),
+      cluster_(runtime, state_, settings_.peers, spans_of(settings_), ms(settings_.report_s / 10)),
       controller_(runtime, state_, cloud_, types_,
                   workers::Client(http, ms(settings_.report_s / 3),
                                   static_cast<std::size_t>(settings_.fd_limit) / 16),
-                  election_, status_reader_, settings_, operator_),
-      api_(runtime, state_, types_, election_, controller_, status_reader_, peers, settings_) {}
+                  election_, status_reader_, cluster_, settings_, operator_),
+      api_(runtime, state_, types_, election_, controller_, status_reader_, cluster_, peers,
+           settings_) {}
+
+void Node::announce(rpc::PeerTransport& peers, std::uint64_t round) {
+  for (const config::Peer& p : settings_.peers) {
+    // Its answer says its version; no round of the election has this number.
+    const bool ask_version =
+        round == 0 && !cluster_.finalized() && !cluster_.knows_segments(p.node);
+    peers.send(p.node, rpc::Leads{election_.warrant(), ask_version ? rpc::kVersionRound : round});
+  }
+}
 
 void Node::start() {
   types_.start();
--- a/src/app/node.h
+++ b/src/app/node.h
@@ -6,6 +6,7 @@
 #include "config/settings.h"
 #include "jobs/api_handler.h"
 #include "jobs/job_status_reader.h"
+#include "leader/cluster_version.h"
 #include "leader/controller.h"
 #include "leader/election.h"
 #include "net/runtime.h"
@@ -26,6 +27,9 @@
   const leader::Election& election() const { return election_; }
 
  private:
+  // Tells all peers that this node leads.
+  void announce(rpc::PeerTransport& peers, std::uint64_t round);
+
   config::Settings settings_;
   config::Operator operator_;
   state::Client state_;
@@ -33,6 +37,7 @@
   cloud::MachineCatalog types_;
   jobs::JobStatusReader status_reader_;
   leader::Election election_;
+  leader::ClusterVersion cluster_;
   leader::Controller controller_;
   jobs::ApiHandler api_;
 };
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <cmath>
 #include <set>
 #define TOML_EXCEPTIONS 1
@@ -88,6 +89,30 @@
   return nullptr;
 }
 
+StateLimits StateLimits::least(const StateLimits& other) const {
+  return {std::min(rps, other.rps), std::min(write_rps, other.write_rps),
+          std::min(value_kb, other.value_kb), std::min(txn_ops, other.txn_ops)};
+}
+
+namespace {
+
+// The least that the records of one job and their conditions fit into.
+constexpr double kLeastValueKb = 2;
+constexpr double kLeastTxnOps = 4;
+
+// The limits in this table; those that it does not name are as in `base`.
+StateLimits limits_from(const Reader& table, const StateLimits& base) {
+  StateLimits limits = base;
+  if (table.has("rps")) limits.rps = table.positive("rps");
+  if (table.has("write_rps")) limits.write_rps = table.positive("write_rps");
+  if (table.has("value_kb")) limits.value_kb = table.number("value_kb", kLeastValueKb);
+  if (table.has("txn_ops"))
+    limits.txn_ops = static_cast<int>(table.number("txn_ops", kLeastTxnOps));
+  return limits;
+}
+
+}  // namespace
+
 Settings load_settings(const std::string& path) {
   toml::table root;
   try {
@@ -128,10 +153,11 @@
   s.gang_peer_s = w.positive("gang_peer_s");
   s.cancel_s = w.positive("cancel_s");
   const Reader st = facts.table("state");
-  s.state_rps = st.positive("rps");
-  s.state_write_rps = st.positive("write_rps");
-  s.value_kb = st.number("value_kb", 2);
-  s.txn_ops = static_cast<int>(st.number("txn_ops", 4));
+  for (const char* name : {"rps", "write_rps", "value_kb", "txn_ops"})
+    if (!st.has(name)) st.fail(name, "must be a number in range");
+  s.state_limits = limits_from(st, {});
+  s.next_state_limits =
+      st.has("next") ? limits_from(st.table("next"), s.state_limits) : s.state_limits;
   const Reader cl = facts.table("cloud");
   s.cloud_rps = cl.positive("rps");
   s.list_lag_s = cl.number("list_lag_s", 0);
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -29,6 +29,16 @@
   double times = 1;  // of a deadline
 };
 
+// What the state service takes: requests and changes a second, the size of a value, and changes in
+// one transaction.
+struct StateLimits {
+  double rps = 0, write_rps = 0, value_kb = 0;
+  int txn_ops = 0;
+
+  // The smaller of both, limit by limit.
+  StateLimits least(const StateLimits& other) const;
+};
+
 struct Settings {
   std::string node, zone, listen, back;
   std::vector<Peer> peers;
@@ -38,8 +48,9 @@
   std::vector<Team> teams;
   std::vector<Objective> objectives;
   double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
-  double state_rps = 0, state_write_rps = 0, value_kb = 0;
-  int txn_ops = 0;
+  StateLimits state_limits;
+  // Those that will hold from some moment on, without notice; as `state_limits` if none are named.
+  StateLimits next_state_limits;
   double cloud_rps = 0, list_lag_s = 0;
   double core_share = 1, memory_mb = 0;
   int fd_limit = 0;
--- a/src/jobs/api_handler.cc
+++ b/src/jobs/api_handler.cc
@@ -4,9 +4,8 @@
 
 #include <algorithm>
 #include <random>
-#include <set>
 
-#include "sched/snapshot.h"
+#include "jobs/responses.h"
 
 namespace seampass::jobs {
 
@@ -22,28 +21,26 @@
 constexpr std::string_view kAbort = "/abort";
 constexpr std::size_t kMaxAsks = 2000;
 
-Response refusal(int status, const std::string& why) {
-  return {status, Json{{"error", why}}.dump(), 0};
-}
-
-// What can't be done now is answered at once, saying when to come back.
-Response later(const char* why) { return {503, Json{{"error", why}}.dump(), 1}; }
-
 }  // namespace
 
 ApiHandler::ApiHandler(net::Runtime& runtime, state::Client& state,
                        const cloud::MachineCatalog& types, leader::Election& election,
                        leader::Controller& controller, JobStatusReader& status_reader,
-                       rpc::PeerTransport& peers, const config::Settings& settings)
+                       leader::ClusterVersion& cluster, rpc::PeerTransport& peers,
+                       const config::Settings& settings)
     : runtime_(runtime),
       state_(state),
       types_(types),
       election_(election),
       controller_(controller),
       status_reader_(status_reader),
+      cluster_(cluster),
       peers_(peers),
       settings_(settings) {
-  peers_.on_receive([this](const std::string& from, const rpc::Message& m) { receive(from, m); });
+  peers_.on_receive([this](const std::string& from, const rpc::Envelope& envelope) {
+    cluster_.note_peer(from, envelope.version);
+    receive(from, envelope.message);
+  });
 }
 
 std::uint64_t ApiHandler::first_ask() {
@@ -84,85 +81,6 @@
   answer(refusal(404, "no such path"));
 }
 
-std::string ApiHandler::impossible(const wire::Job& job) const {
-  const config::Team* team = settings_.team(job.team);
-  if (!team) return "unknown team";
-  std::set<std::string> zones;  // where a task fits an allowed type
-  for (const auto& [name, t] : types_.types())
-    for (const std::string& zone : t.zones)
-      if (sched::hosts(t, job) && (!job.zone || *job.zone == zone)) zones.insert(zone);
-  if (zones.empty()) return "a task fits no allowed machine type";
-  // What must run all at once, and at most half of it in one zone.
-  if (job.kind != wire::JobKind::array && job.spread && job.tasks > 1 &&
-      (job.one_zone || zones.size() < 2))
-    return "its tasks may not be in one zone, and fit no other";
-  // An array runs if one task does; gangs and services need all at once.
-  const double n = job.kind == wire::JobKind::array ? 1 : job.tasks;
-  constexpr double slack = 1e-6;
-  if ((team->cpus_max > 0 && n * job.cpus > team->cpus_max + slack) ||
-      (team->gpus_max > 0 && n * job.gpus > team->gpus_max + slack))
-    return "over the team's limit";
-  return {};
-}
-
-void ApiHandler::submit(const net::Request& request, const Answer& answer) {
-  wire::Job job;
-  try {
-    job = wire::job_from(wire::parse_object(request.body));
-  } catch (const wire::Malformed& e) {
-    return answer(refusal(400, e.what()));
-  }
-  const std::string id = job.id;
-  if (const auto v = status_reader_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
-  if (!types_.known()) return answer(later("machine types not known yet"));
-  const std::string why = impossible(job);
-  if (!why.empty()) {
-    // A job that was accepted once stays so, whatever the settings or types say by now.
-    return status_reader_.read(
-        id, [answer, why](JobStatusReader::Found found, const wire::JobStatus& status,
-                          const state::Item&) {
-          if (found == JobStatusReader::Found::cannot) return answer(later("state not available"));
-          if (found == JobStatusReader::Found::none) return answer(refusal(422, why));
-          answer({200, wire::accepted_json(status), 0});
-        });
-  }
-  // More waits for the store than it can take before the user would give up.
-  if (state_.backlog(state::Urgency::verdict) > net::ms(settings_.report_s / 3))
-    return answer(later("busy"));
-  accept(id, leader::Controller::open_record(job, runtime_.wall()), true,
-         [answer](const rpc::Answer& a) {
-           if (a.verdict != rpc::Verdict::known) return answer(later("state not available"));
-           answer({a.fresh ? 201 : 200, wire::accepted_json(a.status), 0});
-         });
-}
-
-void ApiHandler::accept(const std::string& id, const Json& record, bool forward,
-                        const Reply& reply) {
-  const auto elsewhere = [this, id, forward, reply](const std::string& text) {
-    if (!forward || election_.leading()) return reply({});
-    ask_leader({0, id, false, text}, net::ms(settings_.report_s / 5), reply);
-  };
-  if (forward && state_.seems_down() && !election_.leading()) return elsewhere(record.dump());
-  state::Txn txn;
-  txn.conditions = {{leader::open_key(id), 0}, {leader::ends_key(id), 0}};
-  txn.changes.push_back({leader::open_key(id), record, 0});
-  state_.txn(std::move(txn), state::Urgency::verdict,
-             [this, id, record, elsewhere, reply](const state::TxnResult& t) {
-               if (t.outcome == Outcome::conflict) return status(id, Purpose::acceptance, reply);
-               // Not known, or not done: the transaction can be tried again from anywhere.
-               if (t.outcome != Outcome::ok) return elsewhere(record.dump());
-               rpc::Answer a;
-               a.verdict = rpc::Verdict::known;
-               a.status.id = id;
-               a.fresh = true;
-               reply(a);
-               if (election_.leading())
-                 controller_.on_accepted(id, record, t.revision);
-               else if (!election_.leader().empty())
-                 peers_.send(election_.leader(), rpc::Accepted{id, record.dump(), t.revision});
-             });
-}
-
 void ApiHandler::status(const std::string& id, Purpose purpose, const Reply& reply) {
   rpc::Answer known;
   known.verdict = rpc::Verdict::known;
--- a/src/jobs/api_handler.h
+++ b/src/jobs/api_handler.h
@@ -8,6 +8,7 @@
 #include "cloud/machine_catalog.h"
 #include "config/settings.h"
 #include "jobs/job_status_reader.h"
+#include "leader/cluster_version.h"
 #include "leader/controller.h"
 #include "leader/election.h"
 #include "net/http_server.h"
@@ -21,8 +22,8 @@
  public:
   ApiHandler(net::Runtime& runtime, state::Client& state, const cloud::MachineCatalog& types,
              leader::Election& election, leader::Controller& controller,
-             JobStatusReader& status_reader, rpc::PeerTransport& peers,
-             const config::Settings& settings);
+             JobStatusReader& status_reader, leader::ClusterVersion& cluster,
+             rpc::PeerTransport& peers, const config::Settings& settings);
 
   void handle(const net::Request& request, net::Answer answer);
   void receive(const std::string& from, const rpc::Message& message);
@@ -30,7 +31,17 @@
  private:
   using Reply = std::function<void(const rpc::Answer&)>;
 
+  // Submissions: submissions.cc.
   void submit(const net::Request& request, const net::Answer& answer);
+  void refuse(const std::string& id, const std::string& why, const net::Answer& answer);
+  // `cancelled`: a job that it depends on is.
+  void accept_new(const std::string& id, const wire::Json& record, bool cancelled,
+                  const net::Answer& answer);
+  bool storable(const wire::Json& record) const;
+  // What is known of the jobs that one depends on, the worst of them; in this order.
+  enum class Dependencies { accepted, cancelled, undecided, never_accepted };
+  void check_dependencies(const std::vector<std::string>& jobs,
+                          std::function<void(Dependencies)> reply);
   // Writes the job, here or (where the store does not answer this node) through the leader.
   void accept(const std::string& id, const wire::Json& record, bool forward, const Reply& reply);
   // Empty if the job could run; else why it never can.
@@ -51,6 +62,7 @@
   leader::Election& election_;
   leader::Controller& controller_;
   JobStatusReader& status_reader_;
+  leader::ClusterVersion& cluster_;
   rpc::PeerTransport& peers_;
   const config::Settings& settings_;
 
--- /dev/null
+++ b/src/jobs/job_status_reader.cc
@@ -0,0 +1,154 @@
+#include "jobs/job_status_reader.h"
+
+#include <memory>
+#include <unordered_set>
+#include <utility>
+
+namespace seampass::jobs {
+
+using state::Outcome;
+using wire::Stage;
+
+namespace {
+
+// Unfinished jobs that are looked up for one answer; a job that depends on more can be answered for
+// by the leader alone, which has the whole graph.
+constexpr int kMostUpstreamReads = 64;
+
+// Throws wire::Malformed, or the JSON library's own error.
+std::vector<std::string> dependencies_of(const state::Item& open) {
+  return wire::job_from(open.value.at("job")).dependencies;
+}
+
+}  // namespace
+
+std::optional<wire::JobStatus> JobStatusReader::verdict(const std::string& job) {
+  const auto entry = cache_.find(job);
+  if (entry == cache_.end()) return std::nullopt;
+  order_.splice(order_.begin(), order_, entry->second);
+  return *entry->second;
+}
+
+void JobStatusReader::remember(const wire::JobStatus& status) {
+  if (cache_.contains(status.id)) return;
+  order_.push_front(status);
+  cache_[status.id] = order_.begin();
+  if (order_.size() <= most_) return;
+  cache_.erase(order_.back().id);
+  order_.pop_back();
+}
+
+void JobStatusReader::query(const std::string& job, Done done) {
+  if (const auto known = verdict(job)) return done(Found::verdict, *known, {});
+  if (!state_.admit_query()) return done(Found::cannot, {}, {});
+  read_open(job, Purpose::query, std::move(done));
+}
+
+void JobStatusReader::read(const std::string& job, Done done) {
+  if (const auto known = verdict(job)) return done(Found::verdict, *known, {});
+  read_open(job, Purpose::other, std::move(done));
+}
+
+// (A job that is not in `ends/` may have moved there since its `open/` was listed, or may be open:
+// then both are read, in the order that misses nothing.)
+void JobStatusReader::read_ended(const std::string& job, Done done) {
+  if (const auto known = verdict(job)) return done(Found::verdict, *known, {});
+  read_final(job, [this, job, done = std::move(done)](Found found, const wire::JobStatus& status,
+                                                      const state::Item& item) {
+    if (found == Found::none) return read_open(job, Purpose::other, done);
+    done(found, status, item);
+  });
+}
+
+// A chain of dependencies that is being walked upwards from one open job.
+struct JobStatusReader::UpstreamWalk {
+  state::Item open;
+  wire::JobStatus status;
+  Purpose purpose = Purpose::other;
+  Done done;
+  std::vector<std::string> next;
+  std::unordered_set<std::string> seen;
+  int reads = 0;
+
+  void add(const std::vector<std::string>& jobs) {
+    for (const std::string& job : jobs)
+      if (seen.insert(job).second) next.push_back(job);
+  }
+};
+
+// `open/` is read before `ends/`: a job moves from the first to the second in one transaction, so
+// in this order one that exists can't be missed in both.
+void JobStatusReader::read_open(const std::string& job, Purpose purpose, Done done) {
+  state_.get("open/" + job,
+             [this, job, purpose, done = std::move(done)](const state::GetResult& open) {
+               wire::JobStatus status;
+               status.id = job;
+               if (open.outcome == Outcome::missing) return read_final(job, done);
+               if (open.outcome != Outcome::ok) return done(Found::cannot, status, {});
+               const auto walk = std::make_shared<UpstreamWalk>();
+               walk->open = open.item;
+               walk->status = status;
+               walk->purpose = purpose;
+               walk->done = done;
+               try {
+                 walk->add(dependencies_of(open.item));
+               } catch (const std::exception&) {
+                 // An unreadable record is no answer.
+                 return done(Found::cannot, status, {});
+               }
+               walk_upstream(walk);
+             });
+}
+
+void JobStatusReader::read_final(const std::string& job, Done done) {
+  state_.get("ends/" + job, [this, job, done = std::move(done)](const state::GetResult& ends) {
+    wire::JobStatus status;
+    status.id = job;
+    if (ends.outcome == Outcome::missing) return done(Found::none, status, {});
+    if (ends.outcome != Outcome::ok) return done(Found::cannot, status, {});
+    try {
+      status.stage = wire::stage_from(wire::text_field(ends.item.value, "stage"));
+      status.done = wire::count_field(ends.item.value, "done");
+    } catch (const wire::Malformed&) {
+      // An unreadable record is no answer.
+      return done(Found::cannot, status, {});
+    }
+    remember(status);
+    done(Found::verdict, status, {});
+  });
+}
+
+// One job of the walk at a time. Its answer is not `open` before every job upstream was seen.
+void JobStatusReader::walk_upstream(const std::shared_ptr<UpstreamWalk>& walk) {
+  while (!walk->next.empty()) {
+    const std::string job = std::move(walk->next.back());
+    walk->next.pop_back();
+    if (const auto known = verdict(job)) {
+      if (known->stage != Stage::cancelled) continue;
+      walk->status.stage = Stage::cancelled;
+      remember(walk->status);
+      return walk->done(Found::verdict, walk->status, {});
+    }
+    const bool admitted = walk->purpose == Purpose::other || state_.admit_query();
+    if (!admitted || ++walk->reads > kMostUpstreamReads)
+      return walk->done(Found::cannot, walk->status, {});
+    const auto next = [this, walk, job](Found found, const wire::JobStatus&, const state::Item&) {
+      if (found != Found::verdict) return walk->done(Found::cannot, walk->status, {});
+      walk->next.push_back(job);  // it is in the cache now
+      walk_upstream(walk);
+    };
+    return state_.get("open/" + job, [this, walk, job, next](const state::GetResult& open) {
+      if (open.outcome == Outcome::missing) return read_final(job, next);
+      if (open.outcome != Outcome::ok) return walk->done(Found::cannot, walk->status, {});
+      try {
+        walk->add(dependencies_of(open.item));
+      } catch (const std::exception&) {
+        return walk->done(Found::cannot, walk->status, {});
+      }
+      walk_upstream(walk);
+    });
+  }
+  walk->done(Found::open, walk->status, walk->open);
+}
+
+}  // namespace seampass::jobs
--- a/src/leader/attempts.cc
+++ b/src/leader/attempts.cc
@@ -33,9 +33,9 @@
 
 void Controller::release(TaskAttempt& attempt) {
   const std::string id = attempt.job->spec.id;
-  const std::uint32_t chunk = chunk_of(attempt.task);
+  const std::uint32_t task = attempt.task;
   attempts_.remove(attempt);
-  records_.changed(id, chunk, Urgency::progress);
+  record_changed(id, task, Urgency::progress);
   erase_if_settled(id);
   request_pass();
 }
--- /dev/null
+++ b/src/leader/cluster_version.cc
@@ -0,0 +1,117 @@
+#include "leader/cluster_version.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "leader/election.h"
+
+namespace seampass::leader {
+
+using state::Outcome;
+using wire::Json;
+
+ClusterVersion::ClusterVersion(net::Runtime& runtime, state::Client& state,
+                               const std::vector<config::Peer>& peers, RecordSpans spans,
+                               net::Ms retry)
+    : runtime_(runtime),
+      state_(state),
+      peers_(peers.size()),
+      retry_(retry),
+      own_spans_(spans),
+      spans_(spans) {}
+
+void ClusterVersion::note_peer(const std::string& node, rpc::PeerVersion version) {
+  if (version < rpc::kVersionSegments || !known_.insert(node).second) return;
+  try_finalize();
+}
+
+void ClusterVersion::begin(std::uint64_t epoch, Hooks hooks) {
+  stop();
+  epoch_ = epoch;
+  hooks_ = std::move(hooks);
+  read();
+}
+
+void ClusterVersion::stop() {
+  ++term_;
+  epoch_ = 0;
+  loaded_ = wanted_ = writing_ = finalized_ = false;
+  spans_ = own_spans_;
+  hooks_ = {};
+}
+
+void ClusterVersion::finalize() {
+  wanted_ = true;
+  try_finalize();
+}
+
+void ClusterVersion::again(std::function<void()> step) {
+  runtime_.after(retry_, [this, term = term_, step = std::move(step)] {
+    if (term == term_) step();
+  });
+}
+
+// An unreadable record is not taken for none: whoever wrote it may use a layout that is not known
+// here. It is read again until it makes sense.
+void ClusterVersion::take(const Json& value) {
+  RecordSpans recorded;
+  try {
+    recorded.segment = static_cast<std::uint32_t>(wire::count_field(value, "segment_tasks"));
+    recorded.chunk = static_cast<std::uint32_t>(wire::count_field(value, "chunk_tasks"));
+  } catch (const wire::Malformed& error) {
+    spdlog::error("unreadable record {}: {}", kKey, error.what());
+  }
+  if (recorded.segment == 0 || recorded.chunk == 0) return again([this] { read(); });
+  writing_ = false;
+  spans_ = recorded;
+  finalized_ = true;
+  const bool first = !std::exchange(loaded_, true);
+  const std::uint64_t term = term_;
+  if (hooks_.finalized) hooks_.finalized();
+  if (first && term == term_ && hooks_.loaded) hooks_.loaded();
+}
+
+void ClusterVersion::read() {
+  state_.get(kKey, [this, term = term_](const state::GetResult& result) {
+    if (term != term_) return;
+    if (result.outcome == Outcome::ok) return take(result.item.value);
+    if (result.outcome != Outcome::missing) return again([this] { read(); });
+    writing_ = false;
+    if (!std::exchange(loaded_, true) && hooks_.loaded) hooks_.loaded();
+    if (term == term_) try_finalize();
+  });
+}
+
+void ClusterVersion::try_finalize() {
+  if (!loaded_ || finalized_ || writing_ || epoch_ == 0) return;
+  if (!wanted_ && known_.size() < peers_) return;
+  write();
+}
+
+void ClusterVersion::write() {
+  writing_ = true;
+  const Json value{{"version", rpc::kVersionSegments},
+                   {"segment_tasks", own_spans_.segment},
+                   {"chunk_tasks", own_spans_.chunk}};
+  state::Txn txn;
+  txn.conditions = {{Election::kKey, epoch_}, {kKey, 0}};
+  txn.changes.push_back({kKey, value, 0});
+  state_.txn(std::move(txn), state::Urgency::verdict,
+             [this, term = term_, value](const state::TxnResult& result) {
+               if (term != term_) return;
+               if (result.outcome == Outcome::ok) {
+                 spdlog::info("all controllers read segments of task records");
+                 return take(value);
+               }
+               const auto& failed = result.failed;
+               if (result.outcome == Outcome::conflict &&
+                   std::find(failed.begin(), failed.end(), Election::kKey) != failed.end())
+                 return hooks_.fenced();
+               // Whether it was written is not known, or another's record is there.
+               again([this] { read(); });
+             });
+}
+
+}  // namespace seampass::leader
--- a/src/leader/cluster_view.cc
+++ b/src/leader/cluster_view.cc
@@ -104,7 +104,9 @@
 std::set<const JobRecord*> Controller::guaranteed_jobs() const {
   std::vector<const JobRecord*> order;
   for (const auto& [id, job] : jobs_)
-    if (!job->ending && job->spec.gpus > 0) order.push_back(job.get());
+    // (What waits for others holds no part of its team's guarantee.)
+    if (!job->ending && job->spec.gpus > 0 && dependencies_.graph().ready(id))
+      order.push_back(job.get());
   std::sort(order.begin(), order.end(), [](const JobRecord* a, const JobRecord* b) {
     return std::tie(a->created_ms, a->spec.id) < std::tie(b->created_ms, b->spec.id);
   });
@@ -167,7 +169,10 @@
   const Ms now = runtime_.now();
   const auto guaranteed = guaranteed_jobs();
   for (auto& [id, job] : jobs_) {
-    if (job->ending || job->hint == job->spec.tasks) continue;
+    if (job->ending || job->unreadable || job->hint == job->spec.tasks) continue;
+    // No task before all that the job depends on is durably done: also no room held, no machine
+    // rented, no limit taken.
+    if (!dependencies_.graph().ready(id)) continue;
     const bool gang = job->gang();
     if (gang && !job->attempts.empty()) continue;  // the next attempt waits for all of the last
     // A job that fails everywhere takes room for one task, to see whether it still does.
@@ -183,7 +188,7 @@
     v.id = id;
     v.team = job->spec.team;
     v.kind = job->spec.kind;
-    v.priority = job->spec.priority;
+    v.priority = dependencies_.graph().effective_priority(id);
     v.created_ms = job->created_ms;
     v.need = need_of(job->spec);
     v.types = &job->spec.types;
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -11,45 +11,34 @@
 using state::Urgency;
 using wire::Json;
 
-namespace {
-
-// Bytes that one task may need in a record; value_kb is divided by it.
-constexpr std::uint32_t kTaskBytes = 64;
-std::string hex_bits(const std::vector<bool>& bits, std::uint32_t from, std::uint32_t to) {
-  static constexpr char digits[] = "0123456789abcdef";
-  std::string out;
-  bool any = false;
-  for (std::uint32_t i = from; i < to; i += 4) {
-    unsigned v = 0;
-    for (std::uint32_t k = 0; k < 4 && i + k < to; ++k)
-      if (bits[i + k]) v |= 1U << k;
-    any = any || v != 0;
-    out.push_back(digits[v]);
-  }
-  return any ? out : std::string();
-}
-
-}  // namespace
-
 Controller::Controller(net::Runtime& runtime, state::Client& state, cloud::Client& cloud,
                        const cloud::MachineCatalog& types, workers::Client workers,
                        Election& election, jobs::JobStatusReader& status_reader,
-                       const config::Settings& settings, const config::Operator& op)
+                       ClusterVersion& cluster, const config::Settings& settings,
+                       const config::Operator& op)
     : runtime_(runtime),
       state_(state),
       types_(types),
       workers_(std::move(workers)),
       election_(election),
       status_reader_(status_reader),
+      cluster_(cluster),
       settings_(settings),
       operator_(op),
-      records_(runtime, state, settings.txn_ops,
-               {[this](const std::string& id, std::uint32_t c) { return render(id, c); },
-                [this] { election_.lost(); },
-                [this](const std::string& id, wire::Stage stage) { verdict(id, stage); }}),
+      records_(
+          runtime, state, settings.state_limits.least(settings.next_state_limits),
+          {[this](const std::string& id, const RecordId& record) { return render(id, record); },
+           [this] { election_.lost(); },
+           [this](const std::string& id, wire::Stage stage) { verdict(id, stage); },
+           [this] { cluster_.finalize(); }}),
       fleet_(runtime, cloud, types, settings, op, [this](Machine& m) { forget_machine(m); }),
-      chunk_tasks_(std::max<std::uint32_t>(
-          16, static_cast<std::uint32_t>(settings.value_kb * 1024) / kTaskBytes)),
+      layout_(cluster.spans()),
+      dependencies_(runtime, status_reader, net::ms(settings.report_s / 10),
+                    {[this](const std::string& id) { job_ready(id); },
+                     [this](const std::string& id) { cancel_dependent(id); },
+                     [this](const std::string& id, const state::Item& open) {
+                       accepted(id, open.value, open.version);
+                     }}),
       attempts_(runtime) {
   for (const config::Objective& o : settings.objectives) {
     aims_[o.klass].push_back(o);
@@ -67,7 +56,10 @@
   spdlog::info("leading, warrant {}", election_.warrant());
   records_.begin(election_.warrant());
   fleet_.begin(election_.warrant());
-  load("open/", "", true);
+  layout_.use(Layout::chunks, cluster_.spans());
+  // Records are read once it is known in which layouts they may be.
+  cluster_.begin(election_.warrant(), {[this] { load("open/", "", true); },
+                                       [this] { use_segments(); }, [this] { election_.lost(); }});
   tick();
 }
 
@@ -84,6 +76,10 @@
   snapshot_ = {};
   free_slots_.clear();
   for (auto& [klass, a] : arrivals_) a.recent.clear();
+  collected_.clear();
+  collected_job_.clear();
+  cluster_.stop();
+  dependencies_.stop();
   records_.stop();
   fleet_.stop();
   workers_.stop();
@@ -110,7 +106,8 @@
   if (!active_ || jobs_.contains(id)) return;
   // News of an acceptance can be older than the job's end. (A verdict that has left this cache is
   // still found: the transaction that would assign its tasks compares ends/<id>.)
-  if (status_reader_.verdict(id)) return;
+  const auto ended = status_reader_.verdict(id);
+  if (ended && ended->stage == wire::Stage::done) return;
   auto job = std::make_unique<JobRecord>();
   try {
     job->spec = wire::job_from(record.at("job"));
@@ -120,31 +117,41 @@
     return;
   }
   if (job->spec.id != id) return;
+  // (One that depends on a cancelled job may be known as cancelled before its end is written.)
+  if (ended && job->spec.dependencies.empty()) return;
   job->open_version = version;
   job->taken.assign(job->spec.tasks, false);
   job->finished.assign(job->spec.tasks, false);
-  const auto aim = arrivals_.find(job->spec.klass);
-  if (aim != arrivals_.end()) {
-    // Jobs recovered together came at their own times.
-    const Ms age = std::max<Ms>(0, runtime_.wall() - job->created_ms);
-    aim->second.latest = job->spec;
-    aim->second.recent.emplace_back(runtime_.now() - age, job->spec.tasks);
-  }
   spdlog::debug("queued {} of {}, {} tasks, team {}", id, job->spec.klass, job->spec.tasks,
                 job->spec.team);
-  jobs_.emplace(id, std::move(job));
+  job->ready_ms = job->created_ms;
+  const JobRecord& added = *jobs_.emplace(id, std::move(job)).first->second;
+  // Nobody submits such a job before all controllers are new.
+  if (!added.spec.dependencies.empty()) cluster_.finalize();
+  dependencies_.add(added.spec);
+  if (dependencies_.graph().ready(id)) note_arrival(added);
   request_pass();
 }
 
+// Jobs recovered together came at their own times.
+void Controller::note_arrival(const JobRecord& job) {
+  const auto aim = arrivals_.find(job.spec.klass);
+  if (aim == arrivals_.end()) return;
+  const Ms age = std::max<Ms>(0, runtime_.wall() - job.ready_ms);
+  aim->second.latest = job.spec;
+  aim->second.recent.emplace_back(runtime_.now() - age, job.spec.tasks);
+}
+
 rpc::Answer Controller::status_of(const JobRecord& job) {
   rpc::Answer a;
   a.verdict = rpc::Verdict::known;
   a.status.id = job.spec.id;
   a.status.done = job.finished_count;
   a.status.running = job.ended ? 0 : job.running;
-  a.status.stage = job.ended         ? job.stage
-                   : job.running > 0 ? wire::Stage::running
-                                     : wire::Stage::queued;
+  a.status.stage = job.ended                ? job.stage
+                   : job.upstream_cancelled ? wire::Stage::cancelled
+                   : job.running > 0        ? wire::Stage::running
+                                            : wire::Stage::queued;
   return a;
 }
 
@@ -157,8 +164,9 @@
     JobRecord& job = *it->second;
     // A verdict whose transaction is out may have been read by another node already: until this one
     // knows, only the store can tell.
-    if (!job.ended && !cancel && records_.outcome_unknown(id)) return reply({});
-    if (job.ended || !cancel) return reply(status_of(job));
+    if (job.ended || job.upstream_cancelled) return reply(status_of(job));
+    if (!cancel && (records_.outcome_unknown(id) || !upstream_certain(id))) return reply({});
+    if (!cancel) return reply(status_of(job));
     job.waiters.push_back(std::move(reply));
     // Whoever asked is told soon to come again, while the rest goes on.
     const std::uint64_t term = term_;
@@ -206,8 +214,11 @@
   job.held.clear();
   const std::string id = job.spec.id;
   const bool done = job.finished_count == job.spec.tasks;
+  // What is cancelled with another follows from that one's end: nobody waits for its own.
+  const Urgency urgency = job.upstream_cancelled ? Urgency::progress : Urgency::verdict;
   records_.end(id, job.open_version, done ? wire::Stage::done : wire::Stage::cancelled,
-               job.finished_count, [this, id](wire::Stage actual) { verdict(id, actual); });
+               job.finished_count, urgency,
+               [this, id](wire::Stage actual) { verdict(id, actual); });
 }
 
 void Controller::verdict(const std::string& id, wire::Stage stage) {
@@ -222,6 +233,9 @@
   for (const auto& w : std::exchange(job.waiters, {})) w(answer);
   stop_all(job, 0);
   erase_if_settled(id);
+  // Only now that it is durable: the next leader must not find a dependent at work on a job that it
+  // does not know to be done, or queued behind one that is cancelled.
+  dependencies_.ended(id, stage);
   request_pass();
 }
 
@@ -229,7 +243,8 @@
 // its records are gone.
 void Controller::erase_if_settled(const std::string& id) {
   JobRecord* job = find_job(id);
-  if (!job || !job->attempts.empty()) return;
+  // (An unreadable record may hold attempts that are at work.)
+  if (!job || !job->attempts.empty() || job->unreadable) return;
   if (job->ending && !job->concluding) conclude(*job);
   if (!job->ended) return;
   const auto erase = [this, id] {
@@ -237,29 +252,11 @@
     records_.forget(id);
     jobs_.erase(id);
   };
-  for (const std::uint32_t c : records_.chunks(id))
-    records_.changed(id, c, Urgency::progress, erase);
+  for (const RecordId& record : records_.records(id))
+    records_.changed(id, record, Urgency::progress, erase);
   erase();
 }
 
-std::optional<Json> Controller::render(const std::string& id, std::uint32_t chunk) const {
-  const JobRecord* found = find_job(id);
-  if (!found) return std::nullopt;
-  const JobRecord& job = *found;
-  const std::uint32_t from = chunk * chunk_tasks_;
-  const std::uint32_t to = std::min(from + chunk_tasks_, job.spec.tasks);
-  Json tasks = Json::array();
-  for (auto c = job.attempts.lower_bound(from); c != job.attempts.end() && c->first < to; ++c)
-    tasks.push_back({c->first, c->second.number, c->second.machine->name, c->second.session});
-  if (job.ended && tasks.empty()) return std::nullopt;
-  Json v{{"attempt", job.last_attempt}, {"tasks", std::move(tasks)}, {"team", job.spec.team},
-         {"cpus", job.spec.cpus},       {"gpus", job.spec.gpus},     {"memory", job.spec.memory_gb},
-         {"of", job.spec.tasks}};
-  std::string bits = hex_bits(job.finished, from, to);
-  if (!bits.empty()) v["finished"] = std::move(bits);
-  return v;
-}
-
 void Controller::finish_task(JobRecord& job, std::uint32_t task) {
   if (job.finished[task]) return;
   job.finished[task] = job.taken[task] = true;
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -1,6 +1,7 @@
 // The leading controller: the jobs, what runs where, and the decisions. It acts only between
 // begin() and stop(), which the election calls. Its parts, by what they own: controller.cc the jobs
-// and their ends, recovery.cc the take-over, attempts.cc how attempts end, heartbeats.cc and
+// and their ends, dependencies.cc what follows for those that wait for others, task_records.cc
+// their durable records, recovery.cc the take-over, attempts.cc how attempts end, heartbeats.cc and
 // commands.cc the talk with workers, absence.cc the questions about missing attempts,
 // cluster_view.cc the snapshot, planning.cc passes and rentals, upkeep.cc what is done at
 // intervals.
@@ -18,11 +19,15 @@
 #include "config/settings.h"
 #include "jobs/job_status_reader.h"
 #include "leader/attempt_tracker.h"
+#include "leader/cluster_version.h"
+#include "leader/dependency_tracker.h"
 #include "leader/election.h"
 #include "leader/fleet.h"
 #include "leader/ids.h"
 #include "leader/job_record.h"
+#include "leader/record_layout.h"
 #include "leader/record_store.h"
+#include "leader/task_record.h"
 #include "net/runtime.h"
 #include "rpc/peer.h"
 #include "sched/snapshot.h"
@@ -40,8 +45,8 @@
  public:
   Controller(net::Runtime& runtime, state::Client& state, cloud::Client& cloud,
              const cloud::MachineCatalog& types, workers::Client workers, Election& election,
-             jobs::JobStatusReader& status_reader, const config::Settings& settings,
-             const config::Operator& op);
+             jobs::JobStatusReader& status_reader, ClusterVersion& cluster,
+             const config::Settings& settings, const config::Operator& op);
 
   void begin();
   void stop();
@@ -56,13 +61,31 @@
 
  private:
   bool ready() const { return loaded_ && election_.holds(); }
-  std::uint32_t chunk_of(std::uint32_t task) const { return task / chunk_tasks_; }
 
   // Recovery: recovery.cc.
   void load(const std::string& prefix, const std::string& after, bool first);
-  void take_work(const state::Item& item);
+  void recovered();
+  void take_record(const state::Item& item);
+  void take_collected();
+  JobRecord& ended_job(const std::string& id, const TaskRecord& record);
+  void apply_record(JobRecord& job, const TaskRecord& record, const std::set<std::uint32_t>& known);
   void watch();
 
+  // Dependencies: dependencies.cc.
+  void job_ready(const std::string& id);
+  void cancel_dependent(const std::string& id);
+  // Whether its state can be told from memory: nothing upstream is unknown or in doubt.
+  bool upstream_certain(const std::string& id) const;
+
+  // Durable records of tasks: task_records.cc.
+  void use_segments();
+  void replace_chunks(const std::string& id);
+  // What this task's record should hold has changed.
+  void record_changed(const std::string& id, std::uint32_t task, state::Urgency urgency,
+                      std::function<void()> durable = nullptr);
+  bool record_settled(const std::string& id, std::uint32_t task) const;
+  std::optional<wire::Json> render(const std::string& id, const RecordId& record) const;
+
   // Jobs.
   JobRecord* find_job(const std::string& id) const;
   void accepted(const std::string& id, const wire::Json& record, state::Version version);
@@ -70,10 +93,10 @@
   void maybe_done(JobRecord& job);
   void cancel_job(JobRecord& job);
   void conclude(JobRecord& job);
+  void note_arrival(const JobRecord& job);
   void verdict(const std::string& id, wire::Stage stage);
   void erase_if_settled(const std::string& id);
   static rpc::Answer status_of(const JobRecord& job);
-  std::optional<wire::Json> render(const std::string& id, std::uint32_t chunk) const;
 
   // Attempts: attempts.cc.
   TaskAttempt* find_attempt(const std::string& job, std::uint32_t task);
@@ -153,11 +176,13 @@
   workers::Client workers_;
   Election& election_;
   jobs::JobStatusReader& status_reader_;
+  ClusterVersion& cluster_;
   const config::Settings& settings_;
   const config::Operator& operator_;
   RecordStore records_;
   Fleet fleet_;
-  std::uint32_t chunk_tasks_;
+  RecordLayout layout_;
+  DependencyTracker dependencies_;
 
   bool active_ = false, loaded_ = false, pass_requested_ = false;
   std::uint64_t term_ = 0;
@@ -168,6 +193,9 @@
   state::Version listed_ = 0;  // open jobs were listed as of this revision; 0: not yet
   state::Version watched_ = 0;
   std::map<std::string, std::unique_ptr<JobRecord>> jobs_;
+  // Of one job, while its records are being listed.
+  std::string collected_job_;
+  std::vector<TaskRecord> collected_;
   AttemptTracker attempts_;
   // Kept from pass to pass: a machine is drawn anew when it has changed.
   sched::ClusterSnapshot snapshot_;
--- /dev/null
+++ b/src/leader/dependency_tracker.cc
@@ -0,0 +1,75 @@
+#include "leader/dependency_tracker.h"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+#include <vector>
+
+namespace seampass::leader {
+
+using Found = jobs::JobStatusReader::Found;
+
+DependencyTracker::DependencyTracker(net::Runtime& runtime, jobs::JobStatusReader& status_reader,
+                                     net::Ms retry, Hooks hooks)
+    : runtime_(runtime), status_reader_(status_reader), retry_(retry), hooks_(std::move(hooks)) {}
+
+void DependencyTracker::stop() {
+  ++term_;
+  listed_ = false;
+  graph_.clear();
+  reading_.clear();
+}
+
+void DependencyTracker::add(const wire::Job& job) {
+  apply(graph_.add(job.id, job.priority, job.dependencies));
+  if (listed_) read_unknown();
+}
+
+void DependencyTracker::listed() {
+  listed_ = true;
+  read_unknown();
+}
+
+void DependencyTracker::ended(const std::string& job, wire::Stage stage) {
+  apply(stage == wire::Stage::done ? graph_.finish(job) : graph_.cancel(job));
+}
+
+void DependencyTracker::apply(const sched::DependencyGraph::Effects& effects) {
+  const std::uint64_t term = term_;
+  for (const std::string& job : effects.ready)
+    if (term == term_) hooks_.ready(job);
+  for (const std::string& job : effects.cancelled)
+    if (term == term_) hooks_.cancelled(job);
+}
+
+void DependencyTracker::read_unknown() {
+  const std::vector<std::string> unknown(graph_.unknown().begin(), graph_.unknown().end());
+  for (const std::string& job : unknown)
+    if (reading_.insert(job).second) read(job);
+}
+
+// Neither done nor cancelled until the store says so: whatever depends on it waits.
+void DependencyTracker::read(const std::string& job) {
+  status_reader_.read_ended(job,
+                            [this, term = term_, job](Found found, const wire::JobStatus& status,
+                                                      const state::Item& open) {
+                              if (term != term_) return;
+                              if (found == Found::verdict) {
+                                reading_.erase(job);
+                                return ended(job, status.stage);
+                              }
+                              if (found == Found::open) {
+                                reading_.erase(job);
+                                return hooks_.found_open(job, open);
+                              }
+                              if (found == Found::none)
+                                spdlog::error("{} is depended on, and not in the store", job);
+                              runtime_.after(retry_, [this, term, job] {
+                                if (term != term_) return;
+                                if (graph_.unknown().contains(job)) return read(job);
+                                reading_.erase(job);
+                              });
+                            });
+}
+
+}  // namespace seampass::leader
--- /dev/null
+++ b/src/leader/dependency_tracker.h
@@ -0,0 +1,55 @@
+// The leader's part that owns the graph of dependencies, and finds out what became of the jobs that
+// open ones depend on.
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+
+#include "jobs/job_status_reader.h"
+#include "net/runtime.h"
+#include "sched/dependency_graph.h"
+#include "state/client.h"
+#include "wire/types.h"
+
+namespace seampass::leader {
+
+class DependencyTracker {
+ public:
+  struct Hooks {
+    std::function<void(const std::string& job)> ready;
+    // A job that it depends on is cancelled, and that is durable.
+    std::function<void(const std::string& job)> cancelled;
+    // An open job of which no news had come.
+    std::function<void(const std::string& job, const state::Item& open)> found_open;
+  };
+
+  DependencyTracker(net::Runtime& runtime, jobs::JobStatusReader& status_reader, net::Ms retry,
+                    Hooks hooks);
+
+  void stop();
+  // An open job. Until `listed`, jobs that it names and that are not known are taken to come yet.
+  void add(const wire::Job& job);
+  // All open jobs have been listed: what is still unknown is read.
+  void listed();
+  // The job's final status is durable.
+  void ended(const std::string& job, wire::Stage stage);
+
+  const sched::DependencyGraph& graph() const { return graph_; }
+
+ private:
+  void apply(const sched::DependencyGraph::Effects& effects);
+  void read_unknown();
+  void read(const std::string& job);
+
+  net::Runtime& runtime_;
+  jobs::JobStatusReader& status_reader_;
+  net::Ms retry_;
+  Hooks hooks_;
+  sched::DependencyGraph graph_;
+  std::set<std::string> reading_;
+  std::uint64_t term_ = 0;
+  bool listed_ = false;
+};
+
+}  // namespace seampass::leader
--- a/src/leader/heartbeats.cc
+++ b/src/leader/heartbeats.cc
@@ -115,7 +115,7 @@
   TaskAttempt& attempt = attempts_.add(*job, id.task, id.attempt, machine, machine.session);
   attempt.durable = attempt.sent = true;
   job->last_attempt = std::max(job->last_attempt, id.attempt);
-  records_.changed(id.job, chunk_of(id.task), Urgency::assignment);
+  record_changed(id.job, id.task, Urgency::assignment);
   if (job->ending || job->finished[id.task] || job->gang()) attempts_.stop(attempt, 0);
   return &attempt;
 }
@@ -155,7 +155,7 @@
     const TaskAttempt* attempt = find_on(machine, id);
     if (task.state == TaskState::exited) {
       // Forgotten only after the record of its end is durable.
-      if (!attempt && records_.settled(id.job, chunk_of(id.task)) && may_forget(machine, task)) {
+      if (!attempt && record_settled(id.job, id.task) && may_forget(machine, task)) {
         machine.started.erase(id);
         orders.push_back(command_for(Verb::forget, id));
       }
--- a/src/leader/job_record.h
+++ b/src/leader/job_record.h
@@ -46,6 +46,7 @@
 struct JobRecord {
   wire::Job spec;
   std::int64_t created_ms = 0;
+  std::int64_t ready_ms = 0;  // when the last job that it depends on was done; else its creation
   state::Version open_version = 0;
   std::uint64_t last_attempt = 0;
   std::vector<bool> taken;  // finished, or has an attempt
@@ -70,6 +71,10 @@
   bool ending = false;
   bool concluding = false;
   bool ended = false;
+  // A job that it depends on is cancelled, durably: so is this one for whoever asks, from then on.
+  bool upstream_cancelled = false;
+  // A durable record of its attempts can't be read: nothing of it may be started.
+  bool unreadable = false;
   wire::Stage stage = wire::Stage::queued;
   std::vector<std::function<void(const rpc::Answer&)>> waiters;
 
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -103,7 +103,7 @@
 }
 
 double Controller::age_s(const JobRecord& job) const {
-  return static_cast<double>(runtime_.wall() - job.created_ms) / 1000;
+  return static_cast<double>(runtime_.wall() - job.ready_ms) / 1000;
 }
 
 // How long a start may wait and still meet the first of its class's aims that can be met; at least
@@ -270,7 +270,7 @@
     if (m.claimed_by == job.spec.id) m.claimed_by.clear();
   job.whole_only = false;
   job.kept_zone.clear();
-  std::map<std::uint32_t, std::vector<AttemptId>> by_chunk;
+  std::map<RecordId, std::vector<AttemptId>> by_record;
   std::vector<AttemptId> all;
   for (const sched::Placement& x : tasks) {
     Machine* m = fleet_.find(snapshot_.machines[x.machine].name);
@@ -278,19 +278,20 @@
     m->stale = true;
     attempts_.add(job, x.task, attempt, *m, m->session);
     all.push_back({job.spec.id, x.task, attempt});
-    by_chunk[chunk_of(x.task)].push_back(all.back());
+    by_record[layout_.record_of(x.task)].push_back(all.back());
   }
   spdlog::debug("starting {} tasks of {} try {} on {}", all.size(), job.spec.id, attempt,
                 snapshot_.machines[tasks.front().machine].name);
   const std::string id = job.spec.id;
   const bool gang = job.gang();
-  // A gang's start record may span several chunks: nothing starts before the last is durable.
-  const auto waiting = std::make_shared<std::size_t>(by_chunk.size());
-  for (auto& [chunk, list] : by_chunk) {
-    records_.changed(id, chunk, Urgency::assignment, [this, id, gang, waiting, all, list = list] {
-      if (!gang) return starts_durable(id, list);
-      if (--*waiting == 0) starts_durable(id, all);
-    });
+  // A gang's start may span several records: nothing starts before the last is durable.
+  const auto waiting = std::make_shared<std::size_t>(by_record.size());
+  for (auto& [record, list] : by_record) {
+    record_changed(id, list.front().task, Urgency::assignment,
+                   [this, id, gang, waiting, all, list = list] {
+                     if (!gang) return starts_durable(id, list);
+                     if (--*waiting == 0) starts_durable(id, all);
+                   });
   }
 }
 
--- a/src/leader/record_store.cc
+++ b/src/leader/record_store.cc
@@ -1,8 +1,11 @@
 #include "leader/record_store.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 
 #include "leader/election.h"
+#include "leader/task_record.h"
 
 namespace seampass::leader {
 
@@ -12,46 +15,65 @@
 namespace {
 constexpr std::size_t kTxnBytes = 56U << 10;  // of the service's 64 KiB
 constexpr net::Ms kRetry = 200;
+// The same again gets the same answer, unless the layout has changed meanwhile.
+constexpr net::Ms kRetryInvalid = 2000;
 }  // namespace
 
 std::string open_key(const std::string& job) { return "open/" + job; }
 std::string ends_key(const std::string& job) { return "ends/" + job; }
-std::string work_key(const std::string& job, std::uint32_t chunk) {
-  return "work/" + job + "/" + std::to_string(chunk);
+std::string work_key(const std::string& job, const RecordId& id) {
+  return "work/" + job + "/" + record_name(id);
 }
 
-RecordStore::RecordStore(net::Runtime& runtime, state::Client& state, int txn_ops, Hooks hooks)
-    : runtime_(runtime), state_(state), txn_ops_(txn_ops), hooks_(std::move(hooks)) {}
+RecordStore::RecordStore(net::Runtime& runtime, state::Client& state,
+                         const config::StateLimits& limits, Hooks hooks)
+    : runtime_(runtime), state_(state), limits_(limits), hooks_(std::move(hooks)) {}
 
 void RecordStore::begin(std::uint64_t warrant) {
   warrant_ = warrant;
   ++term_;
   jobs_.clear();
+  in_doubt_.clear();
 }
 
-void RecordStore::found(const std::string& job, std::uint32_t chunk, state::Version version) {
-  jobs_[job].records[chunk].version = version;
+void RecordStore::found(const std::string& job, const RecordId& id, state::Version version) {
+  jobs_[job].records[id].version = version;
 }
 
-void RecordStore::changed(const std::string& job, std::uint32_t chunk, Urgency urgency,
+void RecordStore::changed(const std::string& job, const RecordId& id, Urgency urgency,
                           std::function<void()> durable) {
-  Record& r = jobs_[job].records[chunk];
+  Record& r = jobs_[job].records[id];
   r.urgency = r.dirty ? std::min(r.urgency, urgency) : urgency;
   r.dirty = true;
   if (durable) r.waiters.push_back(std::move(durable));
   flush(job);
 }
 
+void RecordStore::replace(const std::string& job, const RecordId& old,
+                          const std::vector<RecordId>& with) {
+  Entry& entry = jobs_[job];
+  Record& gone = entry.records[old];
+  const Urgency urgency = gone.dirty ? gone.urgency : Urgency::progress;
+  gone.dirty = gone.replaced = true;
+  for (const RecordId& id : with) {
+    Record& next = entry.records[id];
+    next.urgency = next.dirty ? std::min(next.urgency, urgency) : urgency;
+    next.dirty = true;
+  }
+  flush(job);
+}
+
 void RecordStore::end(const std::string& job, state::Version open_version, wire::Stage stage,
-                      std::uint64_t done, std::function<void(wire::Stage)> durable) {
-  jobs_[job].ending = Ending{open_version, stage, done, std::move(durable)};
+                      std::uint64_t done, Urgency urgency,
+                      std::function<void(wire::Stage)> durable) {
+  jobs_[job].ending = Ending{open_version, stage, done, urgency, std::move(durable)};
   flush(job);
 }
 
-bool RecordStore::settled(const std::string& job, std::uint32_t chunk) const {
+bool RecordStore::settled(const std::string& job, const RecordId& id) const {
   const auto j = jobs_.find(job);
   if (j == jobs_.end()) return true;
-  const auto r = j->second.records.find(chunk);
+  const auto r = j->second.records.find(id);
   return r == j->second.records.end() || (!r->second.dirty && !r->second.sending);
 }
 
@@ -64,23 +86,37 @@
   });
 }
 
-bool RecordStore::outcome_unknown(const std::string& job) const {
+std::vector<RecordId> RecordStore::records(const std::string& job) const {
+  std::vector<RecordId> list;
   const auto j = jobs_.find(job);
-  return j != jobs_.end() && j->second.doubt && !j->second.ended;
+  if (j != jobs_.end())
+    for (const auto& [id, r] : j->second.records)
+      if (r.version != 0 || r.dirty || r.sending) list.push_back(id);
+  return list;
 }
 
-std::vector<std::uint32_t> RecordStore::chunks(const std::string& job) const {
-  std::vector<std::uint32_t> list;
+bool RecordStore::in_use(const std::string& job, const RecordId& id) const {
   const auto j = jobs_.find(job);
-  if (j != jobs_.end())
-    for (const auto& [chunk, r] : j->second.records)
-      if (r.version != 0 || r.dirty || r.sending) list.push_back(chunk);
+  if (j == jobs_.end()) return false;
+  const auto found = j->second.records.find(id);
+  if (found == j->second.records.end()) return false;
+  const Record& r = found->second;
+  return !r.replaced && (r.version != 0 || r.dirty || r.sending);
+}
+
+std::vector<std::string> RecordStore::jobs_writing(Layout layout) const {
+  std::vector<std::string> list;
+  for (const auto& [job, entry] : jobs_)
+    if (std::any_of(entry.records.begin(), entry.records.end(), [&](const auto& r) {
+          return r.first.layout == layout && (r.second.dirty || r.second.sending);
+        }))
+      list.push_back(job);
   return list;
 }
 
-void RecordStore::later(const std::string& job) {
+void RecordStore::later(const std::string& job, net::Ms pause) {
   const std::uint64_t term = term_;
-  runtime_.after(kRetry, [this, term, job] {
+  runtime_.after(pause, [this, term, job] {
     if (term == term_) flush(job);
   });
 }
@@ -88,114 +124,138 @@
 void RecordStore::flush(const std::string& job) {
   const auto it = jobs_.find(job);
   if (it == jobs_.end() || it->second.busy || warrant_ == 0) return;
-  Entry& e = it->second;
+  if (settle_unneeded(job)) return flush(job);
 
-  // Records that are neither there nor wanted need no write.
-  std::vector<std::function<void()>> idle;
-  for (auto& [chunk, r] : e.records) {
-    if (!r.dirty || r.version != 0 || hooks_.render(job, chunk)) continue;
-    r.dirty = false;
-    for (auto& w : r.waiters) idle.push_back(std::move(w));
+  Batch batch;
+  // A late transaction of a former leader fails here.
+  batch.txn.conditions.push_back({Election::kKey, warrant_});
+  add_ending(job, batch);
+  add_records(job, batch);
+  if (!batch.txn.changes.empty()) send(job, std::move(batch));
+}
+
+// Records that are neither there nor wanted need no write. True if there were any: who waited for
+// them may have changed everything.
+bool RecordStore::settle_unneeded(const std::string& job) {
+  Entry& e = jobs_.at(job);
+  const bool others = std::any_of(e.records.begin(), e.records.end(), [](const auto& r) {
+    return r.second.dirty && !r.second.replaced;
+  });
+  std::vector<std::function<void()>> waiters;
+  for (auto& [id, r] : e.records) {
+    if (!r.dirty || r.version != 0) continue;
+    if (r.replaced ? others : hooks_.render(job, id).has_value()) continue;
+    r.dirty = r.replaced = false;
+    for (auto& waiter : r.waiters) waiters.push_back(std::move(waiter));
     r.waiters.clear();
   }
-  if (!idle.empty()) {
-    const std::uint64_t term = term_;
-    for (const auto& w : idle)
-      if (term == term_) w();
-    return flush(job);
-  }
+  const std::uint64_t term = term_;
+  for (const auto& waiter : waiters)
+    if (term == term_) waiter();
+  return !waiters.empty();
+}
 
-  state::Txn txn;
-  // A late transaction of a former leader fails here.
-  txn.conditions.push_back({Election::kKey, warrant_});
-  Urgency urgency = Urgency::progress;
-  const bool verdict = e.ending.has_value();
-  if (verdict) {
-    urgency = Urgency::verdict;
-    txn.conditions.push_back({ends_key(job), 0});
-    txn.conditions.push_back({open_key(job), e.ending->open_version});
-    txn.changes.push_back(
-        {ends_key(job),
-         wire::Json{{"stage", wire::stage_name(e.ending->stage)}, {"done", e.ending->done}}, 0});
-    txn.changes.push_back({open_key(job), std::nullopt, 0});
-  }
-  std::vector<std::uint32_t> chunks;
-  std::vector<bool> present;
+void RecordStore::add_ending(const std::string& job, Batch& batch) const {
+  const Entry& e = jobs_.at(job);
+  if (!e.ending) return;
+  batch.verdict = true;
+  batch.urgency = e.ending->urgency;
+  batch.txn.conditions.push_back({ends_key(job), 0});
+  batch.txn.conditions.push_back({open_key(job), e.ending->open_version});
+  const wire::Json status{{"stage", wire::stage_name(e.ending->stage)}, {"done", e.ending->done}};
+  batch.txn.changes.push_back({ends_key(job), status, 0});
+  batch.txn.changes.push_back({open_key(job), std::nullopt, 0});
+}
+
+void RecordStore::add_records(const std::string& job, Batch& batch) {
+  Entry& e = jobs_.at(job);
   std::size_t bytes = 1024;
-  for (auto& [chunk, r] : e.records) {
+  for (auto& [id, r] : e.records) {
     if (!r.dirty) continue;
-    if (static_cast<int>(txn.changes.size()) >= txn_ops_) break;
-    auto value = hooks_.render(job, chunk);
+    // (What is replaced comes last, so that what replaces it is durable or in this transaction.)
+    if (static_cast<int>(batch.txn.changes.size()) >= limits_.txn_ops) break;
+    auto value = r.replaced ? std::nullopt : hooks_.render(job, id);
     const std::size_t size = value ? value->dump().size() + 100 : 100;
-    if (bytes + size > kTxnBytes && !txn.changes.empty()) break;
+    if (bytes + size > kTxnBytes && !batch.txn.changes.empty()) break;
     bytes += size;
-    const std::string key = work_key(job, chunk);
-    txn.conditions.push_back({key, r.version});
-    chunks.push_back(chunk);
-    present.push_back(value.has_value());
+    batch.outgrown = batch.outgrown || static_cast<double>(size) > limits_.value_kb * 1024;
+    const std::string key = work_key(job, id);
+    auto& conditions = batch.txn.conditions;
+    conditions.push_back({key, r.version});
+    batch.ids.push_back(id);
+    batch.present.push_back(value.has_value());
     // No start after a cancellation was answered, whoever answered it; and no record that was
     // cleared with its job comes back by a late copy of its first write (both find version 0).
-    if ((r.urgency == Urgency::assignment || r.version == 0) && !verdict && !e.ended &&
-        (txn.conditions.size() < 2 || txn.conditions[1].key != ends_key(job)))
-      txn.conditions.insert(txn.conditions.begin() + 1, {ends_key(job), 0});
-    urgency = std::min(urgency, r.urgency);
-    txn.changes.push_back({key, std::move(value), 0});
+    if ((r.urgency == Urgency::assignment || r.version == 0) && !batch.verdict && !e.ended &&
+        (conditions.size() < 2 || conditions[1].key != ends_key(job)))
+      conditions.insert(conditions.begin() + 1, {ends_key(job), 0});
+    batch.urgency = std::min(batch.urgency, r.urgency);
+    batch.txn.changes.push_back({key, std::move(value), 0});
     r.dirty = false;
     r.sending = true;
   }
-  if (txn.changes.empty()) return;
+}
+
+void RecordStore::send(const std::string& job, Batch batch) {
+  Entry& e = jobs_.at(job);
   e.busy = true;
-  const bool doubt = e.doubt;
-  e.doubt = doubt || verdict;
-  const std::uint64_t term = term_;
+  const bool doubt = in_doubt_.contains(job);
+  if (batch.verdict) in_doubt_.insert(job);
+  state::Txn txn = std::move(batch.txn);
+  const Urgency urgency = batch.urgency;
   state_.txn(std::move(txn), urgency,
-             [this, term, job, chunks, present, verdict, doubt](const state::TxnResult& t) {
-               if (term != term_) return;
-               const auto found = jobs_.find(job);
-               if (found == jobs_.end()) return;
-               Entry& entry = found->second;
-               if (t.outcome == Outcome::ok)
-                 return applied(job, chunks, present, t.revision, verdict);
-               for (const std::uint32_t c : chunks) {
-                 entry.records[c].sending = false;
-                 entry.records[c].dirty = true;
-               }
-               if (t.outcome == Outcome::refused) {
-                 entry.busy = false;
-                 entry.doubt = doubt;  // this one was certainly not carried out
-                 return later(job);
-               }
-               if (t.outcome == Outcome::conflict &&
-                   std::find(t.failed.begin(), t.failed.end(), Election::kKey) != t.failed.end())
-                 return hooks_.fenced();
-               const bool over =
-                   std::find(t.failed.begin(), t.failed.end(), ends_key(job)) != t.failed.end();
-               read_back(job, chunks, verdict || over);
+             [this, term = term_, job, batch = std::move(batch), doubt](const state::TxnResult& t) {
+               if (term != term_ || !jobs_.contains(job)) return;
+               if (t.outcome == Outcome::ok) return applied(job, batch, t.revision);
+               failed(job, batch, doubt, t);
              });
 }
 
-void RecordStore::applied(const std::string& job, const std::vector<std::uint32_t>& chunks,
-                          const std::vector<bool>& present, state::Version version,
-                          bool with_verdict) {
+void RecordStore::failed(const std::string& job, const Batch& batch, bool doubt,
+                         const state::TxnResult& result) {
+  Entry& e = jobs_.at(job);
+  for (const RecordId& id : batch.ids) {
+    e.records[id].sending = false;
+    e.records[id].dirty = true;
+  }
+  if (result.outcome == Outcome::refused || result.outcome == Outcome::invalid) {
+    e.busy = false;
+    if (!doubt) in_doubt_.erase(job);  // this one was certainly not carried out
+    if (result.outcome == Outcome::refused) return later(job, kRetry);
+    spdlog::error("the state service takes no record of {} in this form", job);
+    later(job, kRetryInvalid);
+    if (batch.outgrown) hooks_.rejected();
+    return;
+  }
+  const auto names = [&result](const std::string& key) {
+    return std::find(result.failed.begin(), result.failed.end(), key) != result.failed.end();
+  };
+  if (result.outcome == Outcome::conflict && names(Election::kKey)) return hooks_.fenced();
+  read_back(job, batch.ids, batch.verdict || names(ends_key(job)));
+}
+
+void RecordStore::applied(const std::string& job, const Batch& batch, state::Version version) {
   Entry& e = jobs_.at(job);
   e.busy = false;
   std::vector<std::function<void()>> ready;
-  for (std::size_t i = 0; i < chunks.size(); ++i) {
-    Record& r = e.records[chunks[i]];
+  for (std::size_t i = 0; i < batch.ids.size(); ++i) {
+    Record& r = e.records[batch.ids[i]];
     r.sending = false;
-    r.version = present[i] ? version : 0;
+    r.version = batch.present[i] ? version : 0;
     // A waiter that came while this was on its way belongs to the next write.
     if (r.dirty) continue;
+    r.replaced = false;
     for (auto& w : r.waiters) ready.push_back(std::move(w));
     r.waiters.clear();
   }
   std::function<void(wire::Stage)> ended;
   wire::Stage stage = wire::Stage::done;
-  if (with_verdict && e.ending) {
+  if (batch.verdict && e.ending) {
     ended = std::move(e.ending->durable);
     stage = e.ending->stage;
     e.ending.reset();
     e.ended = true;
+    in_doubt_.erase(job);
   }
   const std::uint64_t term = term_;
   if (ended) ended(stage);
@@ -205,59 +265,56 @@
 }
 
 // Not known, or a version that is not what we thought: read what is there, then go on from it.
-void RecordStore::read_back(const std::string& job, std::vector<std::uint32_t> chunks,
-                            bool verdict) {
-  const std::uint64_t term = term_;
+void RecordStore::read_back(const std::string& job, std::vector<RecordId> ids, bool verdict) {
+  const auto current = [this, term = term_, job] { return term == term_ && jobs_.contains(job); };
+  const auto again = [this, job, current](std::vector<RecordId> left, bool with_verdict) {
+    runtime_.after(kRetry, [this, job, current, left = std::move(left), with_verdict] {
+      if (current()) read_back(job, left, with_verdict);
+    });
+  };
   if (verdict) {
-    state_.get(ends_key(job), [this, term, job, chunks](const state::GetResult& g) {
-      if (term != term_ || !jobs_.contains(job)) return;
-      if (g.outcome != Outcome::ok && g.outcome != Outcome::missing) {
-        runtime_.after(kRetry, [this, term, job, chunks] {
-          if (term == term_ && jobs_.contains(job)) read_back(job, chunks, true);
-        });
-        return;
-      }
-      Entry& e = jobs_.at(job);
-      if (g.outcome == Outcome::ok && !e.ended) {
-        // The first verdict stands, ours or another's.
-        std::function<void(wire::Stage)> ended;
-        if (e.ending) ended = std::move(e.ending->durable);
-        e.ending.reset();
-        e.ended = true;
-        const auto& v = g.item.value;
-        wire::Stage stage = wire::Stage::done;
-        try {
-          stage = wire::stage_from(wire::text_field(v, "stage"));
-        } catch (const wire::Malformed&) {
-          stage = wire::Stage::done;
-        }
-        if (ended)
-          ended(stage);
-        else
-          hooks_.ended(job, stage);
-        if (term != term_ || !jobs_.contains(job)) return;
-      }
-      read_back(job, chunks, false);
+    state_.get(ends_key(job), [this, job, ids, current, again](const state::GetResult& g) {
+      if (!current()) return;
+      if (g.outcome != Outcome::ok && g.outcome != Outcome::missing) return again(ids, true);
+      if (g.outcome == Outcome::ok) take_verdict(job, g.item);
+      if (current()) read_back(job, ids, false);
     });
     return;
   }
-  if (chunks.empty()) {
+  if (ids.empty()) {
     jobs_.at(job).busy = false;
-    return later(job);
+    return later(job, kRetry);
   }
-  const std::uint32_t chunk = chunks.back();
-  state_.get(work_key(job, chunk), [this, term, job, chunks, chunk](const state::GetResult& g) {
-    if (term != term_ || !jobs_.contains(job)) return;
-    auto rest = chunks;
-    if (g.outcome == Outcome::ok || g.outcome == Outcome::missing) {
-      jobs_.at(job).records[chunk].version = g.outcome == Outcome::ok ? g.item.version : 0;
-      rest.pop_back();
-      return read_back(job, rest, false);
-    }
-    runtime_.after(kRetry, [this, term, job, rest] {
-      if (term == term_ && jobs_.contains(job)) read_back(job, rest, false);
-    });
+  const RecordId id = ids.back();
+  state_.get(work_key(job, id), [this, job, ids, id, current, again](const state::GetResult& g) {
+    if (!current()) return;
+    if (g.outcome != Outcome::ok && g.outcome != Outcome::missing) return again(ids, false);
+    jobs_.at(job).records[id].version = g.outcome == Outcome::ok ? g.item.version : 0;
+    auto rest = ids;
+    rest.pop_back();
+    read_back(job, rest, false);
   });
 }
 
+// The first verdict stands, ours or another's.
+void RecordStore::take_verdict(const std::string& job, const state::Item& item) {
+  Entry& e = jobs_.at(job);
+  if (e.ended) return;
+  std::function<void(wire::Stage)> ended;
+  if (e.ending) ended = std::move(e.ending->durable);
+  e.ending.reset();
+  e.ended = true;
+  in_doubt_.erase(job);
+  wire::Stage stage = wire::Stage::done;
+  try {
+    stage = wire::stage_from(wire::text_field(item.value, "stage"));
+  } catch (const wire::Malformed& error) {
+    spdlog::error("unreadable record {}: {}", item.key, error.what());
+  }
+  if (ended)
+    ended(stage);
+  else
+    hooks_.ended(job, stage);
+}
+
 }  // namespace seampass::leader
--- a/src/leader/record_store.h
+++ b/src/leader/record_store.h
@@ -1,4 +1,4 @@
-// The leader's durable writes: work/<id>/<chunk> records and ends/<id> verdicts.
+// The leader's durable writes: task records, work/<job>/<record>, and final statuses, ends/<job>.
 //
 // One transaction of a job is on its way at a time, and every one compares the version of each
 // record that it replaces: a late copy of an earlier write can't undo a newer one. Outcomes that
@@ -8,9 +8,12 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "config/settings.h"
+#include "leader/record_layout.h"
 #include "net/runtime.h"
 #include "state/client.h"
 #include "wire/types.h"
@@ -19,49 +22,65 @@
 
 std::string open_key(const std::string& job);
 std::string ends_key(const std::string& job);
-std::string work_key(const std::string& job, std::uint32_t chunk);
+std::string work_key(const std::string& job, const RecordId& id);
 
 class RecordStore {
  public:
   // What a record should hold now; none: it should not exist.
-  using Render = std::function<std::optional<wire::Json>(const std::string& job, std::uint32_t)>;
+  using Render =
+      std::function<std::optional<wire::Json>(const std::string& job, const RecordId& id)>;
 
   struct Hooks {
     Render render;
     std::function<void()> fenced;  // another leads
     // A verdict that this store did not write was found.
     std::function<void(const std::string& job, wire::Stage)> ended;
+    std::function<void()> rejected;  // the service's limits are smaller than those we write for
   };
 
-  RecordStore(net::Runtime& runtime, state::Client& state, int txn_ops, Hooks hooks);
+  // The limits: the smallest that are known of, also of those to come.
+  RecordStore(net::Runtime& runtime, state::Client& state, const config::StateLimits& limits,
+              Hooks hooks);
 
   // Starts a term; everything of the one before is forgotten.
   void begin(std::uint64_t warrant);
   void stop() { begin(0); }
 
   // A record as found when the term began.
-  void found(const std::string& job, std::uint32_t chunk, state::Version version);
+  void found(const std::string& job, const RecordId& id, state::Version version);
 
   // The record changed: write it; `durable` runs once what it held by now is in the store.
-  void changed(const std::string& job, std::uint32_t chunk, state::Urgency urgency,
+  void changed(const std::string& job, const RecordId& id, state::Urgency urgency,
                std::function<void()> durable = nullptr);
+  // Has a record deleted that others replace: only once these are durable, or together with the
+  // last of them, so that every step is one to stop after. Who waited for it waits for all of this.
+  void replace(const std::string& job, const RecordId& old, const std::vector<RecordId>& with);
   // Writes the verdict, and answers with the one that stands.
   void end(const std::string& job, state::Version open_version, wire::Stage stage,
-           std::uint64_t done, std::function<void(wire::Stage)> durable);
+           std::uint64_t done, state::Urgency urgency, std::function<void(wire::Stage)> durable);
 
   // A verdict of this job may be in the store, or may come to be, and is not known here yet.
-  bool outcome_unknown(const std::string& job) const;
+  bool outcome_unknown(const std::string& job) const { return in_doubt_.contains(job); }
+  bool any_outcome_unknown() const { return !in_doubt_.empty(); }
   // Nothing of this record waits or is on its way.
-  bool settled(const std::string& job, std::uint32_t chunk) const;
+  bool settled(const std::string& job, const RecordId& id) const;
   bool settled(const std::string& job) const;
   // The records that are or may be in the store.
-  std::vector<std::uint32_t> chunks(const std::string& job) const;
-  void forget(const std::string& job) { jobs_.erase(job); }
+  std::vector<RecordId> records(const std::string& job) const;
+  // Whether this record is or may be in the store, and is not being replaced.
+  bool in_use(const std::string& job, const RecordId& id) const;
+  // Jobs with a record of this layout that waits to be written, or is on its way.
+  std::vector<std::string> jobs_writing(Layout layout) const;
+  void forget(const std::string& job) {
+    jobs_.erase(job);
+    in_doubt_.erase(job);
+  }
 
  private:
   struct Record {
     state::Version version = 0;
     bool dirty = false, sending = false;
+    bool replaced = false;  // to be deleted once the others are durable
     state::Urgency urgency = state::Urgency::progress;
     std::vector<std::function<void()>> waiters;
   };
@@ -69,29 +88,47 @@
     state::Version open_version = 0;
     wire::Stage stage = wire::Stage::done;
     std::uint64_t done = 0;
+    state::Urgency urgency = state::Urgency::verdict;
     std::function<void(wire::Stage)> durable;
   };
   struct Entry {
-    std::map<std::uint32_t, Record> records;
+    std::map<RecordId, Record> records;
     std::optional<Ending> ending;
     bool ended = false;  // the verdict is in the store
-    bool doubt = false;  // a transaction with the verdict is out, or its outcome is not known
     bool busy = false;
   };
 
+  // One transaction, and what it changes.
+  struct Batch {
+    state::Txn txn;
+    state::Urgency urgency = state::Urgency::progress;
+    bool verdict = false;
+    bool outgrown = false;  // holds a value that will not be taken once the limits have changed
+    std::vector<RecordId> ids;
+    std::vector<bool> present;  // by id: has a value after this
+  };
+
   void flush(const std::string& job);
-  void later(const std::string& job);
-  void applied(const std::string& job, const std::vector<std::uint32_t>& chunks,
-               const std::vector<bool>& present, state::Version version, bool with_verdict);
-  void read_back(const std::string& job, std::vector<std::uint32_t> chunks, bool verdict);
+  bool settle_unneeded(const std::string& job);
+  void add_ending(const std::string& job, Batch& batch) const;
+  void add_records(const std::string& job, Batch& batch);
+  void send(const std::string& job, Batch batch);
+  void later(const std::string& job, net::Ms pause);
+  void failed(const std::string& job, const Batch& batch, bool doubt,
+              const state::TxnResult& result);
+  void applied(const std::string& job, const Batch& batch, state::Version version);
+  void read_back(const std::string& job, std::vector<RecordId> ids, bool verdict);
+  void take_verdict(const std::string& job, const state::Item& item);
 
   net::Runtime& runtime_;
   state::Client& state_;
-  int txn_ops_;
+  config::StateLimits limits_;
   Hooks hooks_;
   std::uint64_t warrant_ = 0;
   std::uint64_t term_ = 0;
   std::map<std::string, Entry> jobs_;
+  // A transaction with the verdict is out, or its outcome is not known.
+  std::set<std::string> in_doubt_;
 };
 
 }  // namespace seampass::leader
--- a/src/leader/recovery.cc
+++ b/src/leader/recovery.cc
@@ -1,14 +1,16 @@
 // The Controller's take-over: what the records say, then news of accepted jobs.
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
 #include "leader/controller.h"
 
 namespace seampass::leader {
 
 using net::Ms;
 using state::Outcome;
-using state::Urgency;
-using wire::Json;
 
 void Controller::load(const std::string& prefix, const std::string& after, bool first) {
   const std::uint64_t term = term_;
@@ -30,80 +32,109 @@
       if (open)
         accepted(item.key.substr(prefix.size()), item.value, item.version);
       else
-        take_work(item);
+        take_record(item);
     }
     if (r.more && !r.items.empty()) return load(prefix, r.items.back().key, false);
     if (open && loaded_) return watch();  // listed again after the watch had fallen behind
     if (open) return load("work/", "", true);
-    loaded_ = true;
-    std::vector<std::string> ids;
-    for (const auto& [id, job] : jobs_) ids.push_back(id);
-    for (const std::string& id : ids) {
-      JobRecord& job = *jobs_.at(id);
-      if (job.ended) {
-        for (auto& [task, attempt] : job.attempts) attempt.stop = true;
-        erase_if_settled(id);
-      } else {
-        // Half an attempt in the records: the former leader did not get to start it all.
-        if (job.gang() && !job.attempts.empty() &&
-            job.attempts.size() + job.finished_count < job.spec.tasks)
-          lost_attempt(job);
-        maybe_done(job);
-      }
-    }
-    spdlog::info("recovered {} jobs", jobs_.size());
-    watch();
-    request_pass();
+    take_collected();
+    recovered();
   });
 }
 
-void Controller::take_work(const state::Item& item) {
-  const std::string rest = item.key.substr(5);
+// Everything is listed: what the former leader left half done is settled, and scheduling begins.
+void Controller::recovered() {
+  loaded_ = true;
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) ids.push_back(id);
+  for (const std::string& id : ids) {
+    JobRecord* job = find_job(id);
+    if (!job) continue;
+    if (job->ended) {
+      for (auto& [task, attempt] : job->attempts) attempt.stop = true;
+      erase_if_settled(id);
+      continue;
+    }
+    // Half an attempt in the records: the former leader did not get to start it all.
+    if (job->gang() && !job->attempts.empty() &&
+        job->attempts.size() + job->finished_count < job->spec.tasks)
+      lost_attempt(*job);
+    maybe_done(*job);
+  }
+  spdlog::info("recovered {} jobs", jobs_.size());
+  dependencies_.listed();
+  watch();
+  request_pass();
+}
+
+// Records come in the order of their keys, a job's chunks before its segments.
+void Controller::take_record(const state::Item& item) {
+  constexpr std::string_view prefix = "work/";
+  const std::string rest = item.key.substr(prefix.size());
   const auto slash = rest.find('/');
   if (slash == std::string::npos) return;
   const std::string id = rest.substr(0, slash);
-  const Json& v = item.value;
+  if (id != collected_job_) take_collected();
+  collected_job_ = id;
+  const auto record_id = record_id_from(std::string_view(rest).substr(slash + 1));
   try {
-    const auto chunk = static_cast<std::uint32_t>(std::stoul(rest.substr(slash + 1)));
-    auto it = jobs_.find(id);
-    if (it == jobs_.end()) {
-      // Ended, but some of its tasks were not known to be gone.
-      auto job = std::make_unique<JobRecord>();
-      job->spec.id = id;
-      job->spec.team = wire::text_field(v, "team");
-      job->spec.cpus = wire::amount_field(v, "cpus");
-      job->spec.gpus = wire::amount_field(v, "gpus");
-      job->spec.memory_gb = wire::amount_field(v, "memory");
-      job->spec.tasks = static_cast<std::uint32_t>(wire::count_field(v, "of"));
-      job->ending = job->concluding = job->ended = true;
-      job->taken.assign(job->spec.tasks, true);
-      job->finished.assign(job->spec.tasks, false);
-      it = jobs_.emplace(id, std::move(job)).first;
-    }
-    JobRecord& job = *it->second;
-    records_.found(id, chunk, item.version);
-    job.last_attempt = std::max(job.last_attempt, wire::count_field(v, "attempt"));
-    const std::string bits = v.value("finished", "");
-    const std::uint32_t base = chunk * chunk_tasks_;
-    for (std::size_t i = 0; i < bits.size() * 4; ++i) {
-      const char c = bits[i / 4];
-      const int digit = c <= '9' ? c - '0' : c - 'a' + 10;
-      const std::uint32_t task = base + static_cast<std::uint32_t>(i);
-      if ((digit >> (i % 4) & 1) != 0 && task < job.spec.tasks && !job.finished[task]) {
-        job.finished[task] = job.taken[task] = true;
-        ++job.finished_count;
-      }
-    }
-    for (const Json& t : v.at("tasks")) {
-      const auto task = t.at(0).get<std::uint32_t>();
-      if (task >= job.spec.tasks || job.attempts.contains(task)) continue;
-      TaskAttempt& attempt =
-          attempts_.add(job, task, t.at(1).get<std::uint64_t>(),
-                        fleet_.ensure(t.at(2).get<std::string>()), t.at(3).get<std::uint64_t>());
-      attempt.durable = attempt.sent = true;
+    if (!record_id) throw wire::Malformed("no record's name");
+    collected_.push_back(decode_task_record(*record_id, item.value, layout_));
+    records_.found(id, *record_id, item.version);
+  } catch (const wire::Malformed& error) {
+    // It may hold attempts that are at work: not taken for none.
+    spdlog::error("unreadable record {}, {} is not scheduled: {}", item.key, id, error.what());
+    if (JobRecord* job = find_job(id)) job->unreadable = true;
+  }
+}
+
+// A segment counts before a chunk, for all tasks in its range: it is newer, whatever the chunk
+// says.
+void Controller::take_collected() {
+  const std::vector<TaskRecord> records = std::exchange(collected_, {});
+  std::set<std::uint32_t> known;  // tasks that a segment covers
+  for (const Layout layout : {Layout::segments, Layout::chunks}) {
+    for (const TaskRecord& record : records) {
+      if (record.id.layout != layout) continue;
+      JobRecord* job = find_job(collected_job_);
+      apply_record(job ? *job : ended_job(collected_job_, record), record, known);
     }
-  } catch (const std::exception& e) {
-    spdlog::error("unreadable record {}: {}", item.key, e.what());
+    for (const TaskRecord& record : records)
+      for (std::uint32_t task = record.range.first; task < record.range.end; ++task)
+        if (record.id.layout == layout) known.insert(task);
+  }
+}
+
+// Ended, but some of its tasks were not known to be gone.
+JobRecord& Controller::ended_job(const std::string& id, const TaskRecord& record) {
+  auto job = std::make_unique<JobRecord>();
+  job->spec.id = id;
+  job->spec.team = record.team;
+  job->spec.cpus = record.need.cpus;
+  job->spec.gpus = record.need.gpus;
+  job->spec.memory_gb = record.need.memory_gb;
+  job->spec.tasks = record.job_tasks;
+  job->ending = job->concluding = job->ended = true;
+  job->taken.assign(job->spec.tasks, true);
+  job->finished.assign(job->spec.tasks, false);
+  return *jobs_.emplace(id, std::move(job)).first->second;
+}
+
+void Controller::apply_record(JobRecord& job, const TaskRecord& record,
+                              const std::set<std::uint32_t>& known) {
+  job.last_attempt = std::max(job.last_attempt, record.last_attempt);
+  for (std::uint32_t i = 0; i < record.finished.size(); ++i) {
+    const std::uint32_t task = record.range.first + i;
+    if (record.finished[i] && task < job.spec.tasks && !known.contains(task))
+      finish_task(job, task);
+  }
+  for (const Assignment& assigned : record.assignments) {
+    if (assigned.task >= job.spec.tasks || known.contains(assigned.task) ||
+        job.attempts.contains(assigned.task))
+      continue;
+    TaskAttempt& attempt = attempts_.add(job, assigned.task, assigned.attempt,
+                                         fleet_.ensure(assigned.machine), assigned.session);
+    attempt.durable = attempt.sent = true;
   }
 }
 
--- /dev/null
+++ b/src/leader/task_records.cc
@@ -0,0 +1,66 @@
+// The Controller's durable records of tasks: what they hold, and the change of their layout.
+#include <spdlog/spdlog.h>
+
+#include "leader/controller.h"
+
+namespace seampass::leader {
+
+using state::Urgency;
+using wire::Json;
+
+// All controllers read segments from now on. What was about to be written as a chunk is written as
+// segments instead; the other chunks follow when something of their job changes.
+void Controller::use_segments() {
+  layout_.use(Layout::segments, cluster_.spans());
+  for (const std::string& id : records_.jobs_writing(Layout::chunks)) replace_chunks(id);
+}
+
+// A chunk goes once segments cover all of it. Until then it counts for the tasks that no segment
+// covers (apply_record), so that each transaction on the way leaves records that are complete.
+void Controller::replace_chunks(const std::string& id) {
+  const JobRecord* job = find_job(id);
+  if (!job || job->unreadable) return;
+  for (const RecordId& record : records_.records(id)) {
+    if (record.layout != Layout::chunks || !records_.in_use(id, record)) continue;
+    const TaskRange range = layout_.range(record, job->spec.tasks);
+    std::vector<RecordId> segments;
+    for (std::uint32_t task = range.first; task < range.end;
+         task = layout_.range(segments.back(), job->spec.tasks).end)
+      segments.push_back(layout_.record_of(task));
+    records_.replace(id, record, segments);
+  }
+}
+
+void Controller::record_changed(const std::string& id, std::uint32_t task, Urgency urgency,
+                                std::function<void()> durable) {
+  if (layout_.layout() == Layout::segments) replace_chunks(id);
+  records_.changed(id, layout_.record_of(task), urgency, std::move(durable));
+}
+
+bool Controller::record_settled(const std::string& id, std::uint32_t task) const {
+  return records_.settled(id, layout_.record_of(task)) &&
+         records_.settled(id, layout_.chunk_of(task));
+}
+
+std::optional<Json> Controller::render(const std::string& id, const RecordId& record) const {
+  const JobRecord* job = find_job(id);
+  if (!job) return std::nullopt;
+  TaskRecord held;
+  held.id = record;
+  held.range = layout_.range(record, job->spec.tasks);
+  const auto end = job->attempts.lower_bound(held.range.end);
+  for (auto entry = job->attempts.lower_bound(held.range.first); entry != end; ++entry) {
+    const auto& [task, attempt] = *entry;
+    held.assignments.push_back({task, attempt.number, attempt.machine->name, attempt.session});
+  }
+  if (job->ended && held.assignments.empty()) return std::nullopt;
+  held.last_attempt = job->last_attempt;
+  held.team = job->spec.team;
+  held.need = sched::need_of(job->spec);
+  held.job_tasks = job->spec.tasks;
+  held.finished.assign(job->finished.begin() + held.range.first,
+                       job->finished.begin() + held.range.end);
+  return encode(held);
+}
+
+}  // namespace seampass::leader
--- a/src/rpc/peer.capnp
+++ b/src/rpc/peer.capnp
@@ -12,6 +12,8 @@
     leads @3 :Leads;
     word @4 :Word;
   }
+  # Of the sender's program; 0 where the sender does not say, as before this field was added.
+  version @5 :UInt16;
 }
 
 # A job was accepted and is in the state service; sent to the leader.
--- a/src/rpc/peer.h
+++ b/src/rpc/peer.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <variant>
 
@@ -35,13 +36,31 @@
   std::uint64_t warrant = 0, round = 0;
 };
 
+// A round that belongs to no election: it is asked only for the version that the answer carries.
+inline constexpr std::uint64_t kVersionRound = std::numeric_limits<std::uint64_t>::max();
+
 struct Word {
   std::uint64_t round = 0, warrant = 0;
   std::int64_t up_ms = 0;
 };
 
 using Message = std::variant<Accepted, Ask, Answer, Leads, Word>;
-using Receive = std::function<void(const std::string& from, const Message&)>;
+
+// Versions of the program that peers tell apart. Each can serve beside the one before it.
+using PeerVersion = std::uint16_t;
+// Says no version; knows no dependencies between jobs and only the chunk layout of task records.
+inline constexpr PeerVersion kVersionUnsaid = 0;
+// Knows dependencies, and the segment layout of task records.
+inline constexpr PeerVersion kVersionSegments = 1;
+inline constexpr PeerVersion kOwnVersion = kVersionSegments;
+
+// A message as it arrives: with the version of the program that sent it.
+struct Envelope {
+  PeerVersion version = kVersionUnsaid;
+  Message message;
+};
+
+using Receive = std::function<void(const std::string& from, const Envelope&)>;
 
 class PeerTransport {
  public:
--- a/src/rpc/peer_link.cc
+++ b/src/rpc/peer_link.cc
@@ -33,6 +33,7 @@
 std::string encode(const Message& message) {
   capnp::MallocMessageBuilder builder;
   auto envelope = builder.initRoot<schema::Envelope>();
+  envelope.setVersion(kOwnVersion);
   if (const auto* a = std::get_if<Accepted>(&message)) {
     auto m = envelope.initAccepted();
     m.setId(a->id);
@@ -67,7 +68,48 @@
   return {reinterpret_cast<const char*>(bytes.begin()), bytes.size()};
 }
 
-Message decode(const char* bytes, std::size_t size) {
+namespace {
+
+Answer answer_from(const schema::Answer::Reader& message) {
+  const auto verdict = static_cast<unsigned>(message.getVerdict());
+  if (verdict > static_cast<unsigned>(Verdict::unknown) ||
+      message.getStage() > static_cast<unsigned>(wire::Stage::cancelled))
+    throw std::runtime_error("bad peer answer");
+  Answer answer;
+  answer.number = message.getNumber();
+  answer.verdict = static_cast<Verdict>(verdict);
+  answer.status.stage = static_cast<wire::Stage>(message.getStage());
+  answer.status.done = message.getDone();
+  answer.status.running = message.getRunning();
+  answer.fresh = message.getFresh();
+  return answer;
+}
+
+Message message_from(const schema::Envelope::Reader& envelope) {
+  switch (envelope.which()) {
+    case schema::Envelope::ACCEPTED: {
+      const auto accepted = envelope.getAccepted();
+      return Accepted{accepted.getId(), accepted.getRecord(), accepted.getVersion()};
+    }
+    case schema::Envelope::ASK: {
+      const auto ask = envelope.getAsk();
+      return Ask{ask.getNumber(), ask.getId(), ask.getCancel(), ask.getRecord()};
+    }
+    case schema::Envelope::ANSWER:
+      return answer_from(envelope.getAnswer());
+    case schema::Envelope::LEADS:
+      return Leads{envelope.getLeads().getWarrant(), envelope.getLeads().getRound()};
+    case schema::Envelope::WORD: {
+      const auto word = envelope.getWord();
+      return Word{word.getRound(), word.getWarrant(), word.getUpMs()};
+    }
+  }
+  throw std::runtime_error("unknown peer message");
+}
+
+}  // namespace
+
+Envelope decode(const char* bytes, std::size_t size) {
   if (size == 0 || size % sizeof(capnp::word) != 0) throw std::runtime_error("bad peer frame");
   // A copy, since the words must be aligned.
   auto words = kj::heapArray<capnp::word>(size / sizeof(capnp::word));
@@ -75,41 +117,10 @@
   try {
     capnp::FlatArrayMessageReader reader(words);
     const auto envelope = reader.getRoot<schema::Envelope>();
-    switch (envelope.which()) {
-      case schema::Envelope::ACCEPTED: {
-        const auto m = envelope.getAccepted();
-        return Accepted{m.getId(), m.getRecord(), m.getVersion()};
-      }
-      case schema::Envelope::ASK: {
-        const auto m = envelope.getAsk();
-        return Ask{m.getNumber(), m.getId(), m.getCancel(), m.getRecord()};
-      }
-      case schema::Envelope::ANSWER: {
-        const auto m = envelope.getAnswer();
-        const auto verdict = static_cast<unsigned>(m.getVerdict());
-        if (verdict > static_cast<unsigned>(Verdict::unknown) ||
-            m.getStage() > static_cast<unsigned>(wire::Stage::cancelled))
-          throw std::runtime_error("bad peer answer");
-        Answer a;
-        a.number = m.getNumber();
-        a.verdict = static_cast<Verdict>(verdict);
-        a.status.stage = static_cast<wire::Stage>(m.getStage());
-        a.status.done = m.getDone();
-        a.status.running = m.getRunning();
-        a.fresh = m.getFresh();
-        return a;
-      }
-      case schema::Envelope::LEADS:
-        return Leads{envelope.getLeads().getWarrant(), envelope.getLeads().getRound()};
-      case schema::Envelope::WORD: {
-        const auto m = envelope.getWord();
-        return Word{m.getRound(), m.getWarrant(), m.getUpMs()};
-      }
-    }
+    return {envelope.getVersion(), message_from(envelope)};
   } catch (const kj::Exception& e) {
     throw std::runtime_error(std::string("bad peer message: ") + e.getDescription().cStr());
   }
-  throw std::runtime_error("unknown peer message");
 }
 
 struct PeerLink::Out {
@@ -175,8 +186,8 @@
         if (!owner->peers_.contains(node)) return close();
       } else {
         try {
-          const Message m = decode(payload, size);
-          if (owner->receive_) owner->receive_(node, m);
+          const Envelope envelope = decode(payload, size);
+          if (owner->receive_) owner->receive_(node, envelope);
         } catch (const std::runtime_error&) {
           return close();
         }
--- a/src/rpc/peer_link.h
+++ b/src/rpc/peer_link.h
@@ -13,9 +13,10 @@
 
 namespace seampass::rpc {
 
+// With the version of this program.
 std::string encode(const Message& message);
 // Throws std::runtime_error on anything malformed.
-Message decode(const char* bytes, std::size_t size);
+Envelope decode(const char* bytes, std::size_t size);
 
 class PeerLink : public PeerTransport {
  public:
--- /dev/null
+++ b/src/sched/dependency_graph.cc
@@ -0,0 +1,199 @@
+#include "sched/dependency_graph.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace seampass::sched {
+
+using wire::Priority;
+
+namespace {
+std::size_t index_of(Priority priority) { return static_cast<std::size_t>(priority); }
+}  // namespace
+
+bool DependencyGraph::ByName::operator()(const Node* a, const Node* b) const {
+  return a->job < b->job;
+}
+
+DependencyGraph::Node& DependencyGraph::ensure(const std::string& job) {
+  const auto [entry, is_new] = nodes_.try_emplace(job);
+  if (is_new) {
+    entry->second.job = job;
+    unknown_.insert(job);
+  }
+  return entry->second;
+}
+
+const DependencyGraph::Node* DependencyGraph::find(const std::string& job) const {
+  const auto entry = nodes_.find(job);
+  return entry == nodes_.end() ? nullptr : &entry->second;
+}
+
+void DependencyGraph::connect(Node& job, Node& dependency) {
+  if (!job.upstream.insert(&dependency).second) return;
+  dependency.downstream.insert(&job);
+  ++dependency.downstream_by_priority[index_of(job.effective)];
+  update_priority(dependency);
+}
+
+void DependencyGraph::disconnect(Node& job, Node& dependency) {
+  if (job.upstream.erase(&dependency) == 0) return;
+  dependency.downstream.erase(&job);
+  --dependency.downstream_by_priority[index_of(job.effective)];
+  update_priority(dependency);
+}
+
+void DependencyGraph::disconnect_upstream(Node& job) {
+  const NodeSet upstream = job.upstream;
+  for (Node* dependency : upstream) {
+    disconnect(job, *dependency);
+    // Nobody asks about it any more.
+    if (dependency->state == State::unknown && dependency->downstream.empty()) erase(*dependency);
+  }
+}
+
+void DependencyGraph::update_priority(Node& job) {
+  std::vector<Node*> changed{&job};
+  while (!changed.empty()) {
+    Node& node = *changed.back();
+    changed.pop_back();
+    const auto& counts = node.downstream_by_priority;
+    const auto first = std::find_if(counts.begin(), counts.end(), [](auto n) { return n > 0; });
+    const auto highest = static_cast<Priority>(first - counts.begin());
+    const Priority effective = std::min(node.own, highest);
+    if (effective == node.effective) continue;
+    for (Node* dependency : node.upstream) {
+      --dependency->downstream_by_priority[index_of(node.effective)];
+      ++dependency->downstream_by_priority[index_of(effective)];
+      changed.push_back(dependency);
+    }
+    node.effective = effective;
+  }
+}
+
+DependencyGraph::Effects DependencyGraph::add(const std::string& job, Priority priority,
+                                              const std::vector<std::string>& dependencies) {
+  Effects effects;
+  Node& node = ensure(job);
+  if (node.state != State::unknown) return effects;
+  node.state = State::open;
+  unknown_.erase(job);
+  node.own = priority;
+  update_priority(node);
+  bool cancelled = false;
+  for (const std::string& name : dependencies) {
+    Node& dependency = ensure(name);
+    cancelled = cancelled || dependency.state == State::cancelled;
+    connect(node, dependency);
+  }
+  if (!cancelled) return effects;
+  effects.cancelled = cancel_downstream(node);
+  effects.cancelled.push_back(job);
+  node.state = State::cancelled;
+  disconnect_upstream(node);
+  return effects;
+}
+
+DependencyGraph::Effects DependencyGraph::finish(const std::string& job) {
+  Effects effects;
+  const auto entry = nodes_.find(job);
+  if (entry == nodes_.end()) return effects;
+  Node& node = entry->second;
+  const NodeSet downstream = node.downstream;
+  for (Node* dependent : downstream) {
+    disconnect(*dependent, node);
+    if (dependent->upstream.empty()) effects.ready.push_back(dependent->job);
+  }
+  disconnect_upstream(node);
+  erase(node);
+  return effects;
+}
+
+DependencyGraph::Effects DependencyGraph::cancel(const std::string& job) {
+  Effects effects;
+  const auto entry = nodes_.find(job);
+  if (entry == nodes_.end()) return effects;
+  Node& node = entry->second;
+  effects.cancelled = cancel_downstream(node);
+  disconnect_upstream(node);
+  erase(node);
+  return effects;
+}
+
+// All that depend on this job, directly or through others: none has begun, since this one was not
+// done.
+std::vector<std::string> DependencyGraph::cancel_downstream(Node& job) {
+  std::vector<std::string> result;
+  std::vector<Node*> next{&job};
+  while (!next.empty()) {
+    Node& node = *next.back();
+    next.pop_back();
+    const NodeSet downstream = node.downstream;
+    for (Node* dependent : downstream) {
+      // Once it is cancelled, nothing else that it depends on matters.
+      disconnect_upstream(*dependent);
+      dependent->state = State::cancelled;
+      result.push_back(dependent->job);
+      next.push_back(dependent);
+    }
+  }
+  return result;
+}
+
+void DependencyGraph::erase(Node& job) {
+  unknown_.erase(job.job);
+  nodes_.erase(nodes_.find(job.job));
+}
+
+void DependencyGraph::clear() {
+  nodes_.clear();
+  unknown_.clear();
+}
+
+bool DependencyGraph::ready(const std::string& job) const {
+  const Node* node = find(job);
+  return node && node->state == State::open && node->upstream.empty();
+}
+
+bool DependencyGraph::cancelled(const std::string& job) const {
+  const Node* node = find(job);
+  return node && node->state == State::cancelled;
+}
+
+std::vector<const DependencyGraph::Node*> DependencyGraph::visit_upstream(const Node& job) const {
+  std::vector<const Node*> found;
+  std::unordered_set<const Node*> seen{&job};
+  std::vector<const Node*> next{&job};
+  while (!next.empty()) {
+    const Node* node = next.back();
+    next.pop_back();
+    for (const Node* dependency : node->upstream) {
+      if (!seen.insert(dependency).second) continue;
+      found.push_back(dependency);
+      next.push_back(dependency);
+    }
+  }
+  return found;
+}
+
+bool DependencyGraph::undecided(const std::string& job) const {
+  const Node* node = find(job);
+  if (!node || unknown_.empty()) return false;
+  const auto found = visit_upstream(*node);
+  return std::any_of(found.begin(), found.end(),
+                     [](const Node* n) { return n->state == State::unknown; });
+}
+
+std::vector<std::string> DependencyGraph::upstream(const std::string& job) const {
+  std::vector<std::string> names;
+  if (const Node* node = find(job))
+    for (const Node* dependency : visit_upstream(*node)) names.push_back(dependency->job);
+  return names;
+}
+
+Priority DependencyGraph::effective_priority(const std::string& job) const {
+  const Node* node = find(job);
+  return node ? node->effective : Priority::low;
+}
+
+}  // namespace seampass::sched
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -31,6 +31,7 @@
   if (r.status == 200) return Outcome::ok;
   if (r.status == 404 || r.status == 410) return Outcome::missing;
   if (r.status == 409) return Outcome::conflict;
+  if (r.status == 400) return Outcome::invalid;
   if (is_refusal(r)) return Outcome::refused;
   return Outcome::unknown;
 }
@@ -109,14 +110,11 @@
   Json body{{"if", std::move(conditions)}, {"apply", std::move(changes)}};
   submit(urgency, Call{endpoint_, "POST", "/txn", body.dump(), timeout_}, writes,
          [done = std::move(done)](const Reply& r) {
-           auto result = parsed<TxnResult>(r, [](TxnResult& t, const Json& o) {
+           done(parsed<TxnResult>(r, [](TxnResult& t, const Json& o) {
              t.revision = wire::count_field(o, "ledger_rev");
              if (t.outcome != Outcome::conflict) return;
              for (const Json& k : o.at("failed")) t.failed.push_back(k.get<std::string>());
-           });
-           // 400 is said of a lease that has ended, whatever the conditions are.
-           if (r.is(400)) result.outcome = Outcome::missing;
-           done(std::move(result));
+           }));
          });
 }
 
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -43,6 +43,7 @@
   conflict,  // 409: nothing changed; `failed` names the keys
   missing,   // 404, or a lease that ended
   refused,   // certainly not executed: 429, 503, not sent
+  invalid,   // 400: not executed, and never will be as it is: too large, or its lease has ended
   unknown,   // may have been executed, or may still be
 };
 
--- a/src/wire/codec.cc
+++ b/src/wire/codec.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <cmath>
+#include <unordered_set>
 #include <utility>
 
 namespace seampass::wire {
@@ -93,6 +94,19 @@
   return {text.substr(0, slash), index};
 }
 
+// Ids in the order given, each once.
+std::vector<std::string> job_ids(const Json& list) {
+  std::vector<std::string> ids;
+  std::unordered_set<std::string> seen;
+  for (const Json& item : list) {
+    if (!item.is_string()) throw Malformed("waits_on: not a job id");
+    auto id = item.get<std::string>();
+    if (!valid_job_id(id)) throw Malformed("waits_on: bad form");
+    if (seen.insert(id).second) ids.push_back(std::move(id));
+  }
+  return ids;
+}
+
 Json orders_json(const std::vector<Command>& commands) {
   Json list = Json::array();
   for (const Command& c : commands) {
@@ -195,30 +209,34 @@
   j.checkpoint_s = amount_field(o, "rack_every_s");
   j.save_s = amount_field(o, "rack_s");
   if (!absent(o, "due_s")) j.deadline_s = amount_field(o, "due_s");
+  if (!absent(o, "waits_on")) j.dependencies = job_ids(list_field(o, "waits_on"));
   return j;
 }
 
 Json to_json(const Job& j) {
-  return Json{{"ref", j.id},
-              {"cuvee_class", j.klass},
-              {"owner_crew", j.team},
-              {"shape", name_of(kKinds, j.kind)},
-              {"rank", name_of(kPriorities, j.priority)},
-              {"pours", j.tasks},
-              {"cpus", j.cpus},
-              {"accelerators", j.gpus},
-              {"memory_gb", j.memory_gb},
-              {"blend", j.image},
-              {"pull_gb", j.image_gb},
-              {"barrels", j.types ? Json(*j.types) : Json()},
-              {"cellar", j.zone ? Json(*j.zone) : Json()},
-              {"together", j.one_zone},
-              {"apart", j.spread},
-              {"lent_racks", j.spot},
-              {"expected_s", j.estimate_s},
-              {"rack_every_s", j.checkpoint_s},
-              {"rack_s", j.save_s},
-              {"due_s", j.deadline_s ? Json(*j.deadline_s) : Json()}};
+  Json o{{"ref", j.id},
+         {"cuvee_class", j.klass},
+         {"owner_crew", j.team},
+         {"shape", name_of(kKinds, j.kind)},
+         {"rank", name_of(kPriorities, j.priority)},
+         {"pours", j.tasks},
+         {"cpus", j.cpus},
+         {"accelerators", j.gpus},
+         {"memory_gb", j.memory_gb},
+         {"blend", j.image},
+         {"pull_gb", j.image_gb},
+         {"barrels", j.types ? Json(*j.types) : Json()},
+         {"cellar", j.zone ? Json(*j.zone) : Json()},
+         {"together", j.one_zone},
+         {"apart", j.spread},
+         {"lent_racks", j.spot},
+         {"expected_s", j.estimate_s},
+         {"rack_every_s", j.checkpoint_s},
+         {"rack_s", j.save_s},
+         {"due_s", j.deadline_s ? Json(*j.deadline_s) : Json()}};
+  // (Left out where there are none, so that the record of such a job is as it always was.)
+  if (!j.dependencies.empty()) o["waits_on"] = j.dependencies;
+  return o;
 }
 
 const char* stage_name(Stage stage) { return name_of(kStages, stage); }
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -31,6 +31,8 @@
   bool one_zone = false, spread = false, spot = false;
   double estimate_s = 0, checkpoint_s = 0, save_s = 0;
   std::optional<double> deadline_s;
+  // Jobs that have to be done before any task of this one starts; each named once.
+  std::vector<std::string> dependencies;
 };
 
 inline constexpr std::uint32_t kMaxTasks = 100000;
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -79,7 +79,7 @@
   EXPECT_EQ(s.team("red")->gpus_max, 16.0);
   EXPECT_EQ(s.team("green"), nullptr);
   EXPECT_EQ(s.objectives.at(0).within_s, 30.0);
-  EXPECT_EQ(s.txn_ops, 12);
+  EXPECT_EQ(s.state_limits.txn_ops, 12);
   std::remove(file.c_str());
 }
 
--- a/tests/record_store_test.cc
+++ b/tests/record_store_test.cc
@@ -19,10 +19,11 @@
         process(time),
         http(net, "n0", process.alive()),
         client(process, http, "state:1", 1000, 1000, 500),
-        records(
-            process, client, 10,
-            {[this](const std::string&, std::uint32_t) { return value; }, [this] { fenced = true; },
-             [this](const std::string&, wire::Stage) { ended_elsewhere = true; }}) {
+        records(process, client, {1000, 1000, 8, 10},
+                {[this](const std::string&, const RecordId&) { return value; },
+                 [this] { fenced = true; },
+                 [this](const std::string&, wire::Stage) { ended_elsewhere = true; },
+                 [this] { rejected = true; }}) {
     net.serve("state:1",
               [this](const net::Request& r, net::Answer a) { service.handle(r, std::move(a)); });
     put(Election::kKey, {{"node", "n0"}});
@@ -49,7 +50,8 @@
   standins::SimCaller http;
   state::Client client;
   std::optional<wire::Json> value = wire::Json{{"n", 1}};
-  bool fenced = false, ended_elsewhere = false;
+  bool fenced = false, ended_elsewhere = false, rejected = false;
+  const RecordId chunk{Layout::chunks, 0};
   RecordStore records;
   state::Version revision = 0;
 };
@@ -61,11 +63,11 @@
     f.lose_answer = c.path == "/txn" && lost++ == 0;
     return f;
   });
-  records.changed("wk-1", 0, state::Urgency::assignment, [&] { ++durable; });
+  records.changed("wk-1", chunk, state::Urgency::assignment, [&] { ++durable; });
   time.run_for(5000);
   EXPECT_EQ(durable, 1);
   EXPECT_EQ(stored("work/wk-1/0"), (wire::Json{{"n", 1}}));
-  EXPECT_TRUE(records.settled("wk-1", 0));
+  EXPECT_TRUE(records.settled("wk-1", chunk));
 }
 
 TEST_F(RecordStoreTest, LateWriteCannotUndoANewerOne) {
@@ -75,10 +77,10 @@
     if (c.path == "/txn" && sent++ == 0) f.late = 20000;
     return f;
   });
-  records.changed("wk-1", 0, state::Urgency::assignment, [&] { ++durable; });
+  records.changed("wk-1", chunk, state::Urgency::assignment, [&] { ++durable; });
   time.run_for(1000);
   value = wire::Json{{"n", 2}};
-  records.changed("wk-1", 0, state::Urgency::progress, [&] { ++durable; });
+  records.changed("wk-1", chunk, state::Urgency::progress, [&] { ++durable; });
   time.run_for(5000);
   EXPECT_EQ(durable, 2);
   time.run_for(30000);  // the first is applied now, or rather not
@@ -88,7 +90,7 @@
 TEST_F(RecordStoreTest, FormerLeaderWritesNothing) {
   put(Election::kKey, {{"node", "n1"}});
   bool durable = false;
-  records.changed("wk-1", 0, state::Urgency::assignment, [&] { durable = true; });
+  records.changed("wk-1", chunk, state::Urgency::assignment, [&] { durable = true; });
   time.run_for(2000);
   EXPECT_TRUE(fenced);
   EXPECT_FALSE(durable);
@@ -98,7 +100,8 @@
 TEST_F(RecordStoreTest, FirstVerdictStands) {
   put("ends/wk-1", {{"stage", "withdrawn"}, {"done", 0}});
   wire::Stage stage = wire::Stage::queued;
-  records.end("wk-1", 3, wire::Stage::done, 2, [&](wire::Stage s) { stage = s; });
+  records.end("wk-1", 3, wire::Stage::done, 2, state::Urgency::verdict,
+              [&](wire::Stage s) { stage = s; });
   time.run_for(3000);
   EXPECT_EQ(stage, wire::Stage::cancelled);
 }
@@ -106,7 +109,7 @@
 TEST_F(RecordStoreTest, NoStartIsRecordedAfterAVerdict) {
   put("ends/wk-1", {{"stage", "withdrawn"}, {"done", 0}});
   bool durable = false;
-  records.changed("wk-1", 0, state::Urgency::assignment, [&] { durable = true; });
+  records.changed("wk-1", chunk, state::Urgency::assignment, [&] { durable = true; });
   time.run_for(150);
   EXPECT_FALSE(durable);
   EXPECT_TRUE(ended_elsewhere);
--- a/tests/rpc_test.cc
+++ b/tests/rpc_test.cc
@@ -22,7 +22,7 @@
   const auto list = samples();
   const auto back = [](const Message& m) {
     const std::string s = encode(m);
-    return decode(s.data(), s.size());
+    return decode(s.data(), s.size()).message;
   };
   const auto accepted = std::get<Accepted>(back(list[0]));
   EXPECT_EQ(accepted.id, "wk-1");
--- a/tests/standins/sim.h
+++ b/tests/standins/sim.h
@@ -198,7 +198,8 @@
   static void deliver(const Registry& registry, const std::string& from, const std::string& node,
                       const rpc::Message& message) {
     const auto it = registry.find(node);
-    if (it != registry.end() && it->second->receive_) it->second->receive_(from, message);
+    if (it != registry.end() && it->second->receive_)
+      it->second->receive_(from, {rpc::kOwnVersion, message});
   }
   void on_receive(rpc::Receive receive) override { receive_ = std::move(receive); }
 
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -27,10 +27,8 @@
   s.gang_wait_s = 30;
   s.gang_peer_s = 4;
   s.cancel_s = 40;
-  s.state_rps = 100;
-  s.state_write_rps = 40;
-  s.value_kb = 8;
-  s.txn_ops = 10;
+  s.state_limits = {100, 40, 8, 10};
+  s.next_state_limits = s.state_limits;
   s.cloud_rps = 4;
   s.list_lag_s = 2;
   s.core_share = 0.1;
--- a/tests/troubles_test.cc
+++ b/tests/troubles_test.cc
@@ -448,7 +448,7 @@
   ASSERT_TRUE(w.settle());
   for (int i = 0; i < 40; ++i)
     w.submit(w.follower(), array_job("wk-" + std::to_string(100 + i), 1, 30));
-  w.state.limit = static_cast<int>(settings_for("n0").state_rps);
+  w.state.limit = static_cast<int>(settings_for("n0").state_limits.rps);
   const std::string former = w.leader();
   w.kill(former);
   w.time.run_for(1000);
