--- a/src/sched/dependency_graph.cc
+++ b/src/sched/dependency_graph.cc
@@ -114,6 +114,7 @@
   const auto entry = nodes_.find(job);
   if (entry == nodes_.end()) return effects;
   Node& node = entry->second;
+  node.state = State::cancelled;  // (an unknown one would go with the last that names it)
   effects.cancelled = cancel_downstream(node);
   disconnect_upstream(node);
   erase(node);
--- a/tests/meetings_test.cc
+++ b/tests/meetings_test.cc
@@ -55,10 +55,12 @@
     return f;
   });
   const auto user = std::make_shared<bool>(true);
-  for (const char* id : {"wk-1", "wk-2"})
+  for (const char* id : {"wk-1", "wk-2"}) {
+    w.judge.jobs[id].cancel_asked = true;
     w.net.call("user", user,
                {old + ":8080", "POST", std::string("/api/jobs/") + id + "/abort", "", 5000},
                [](const net::Reply&) {});
+  }
   if (g.hang > 0)
     for (auto& [name, m] : w.cloud.machines)
       if (name < "m-000004") m->hang(g.hang);
@@ -543,7 +545,26 @@
               j.told("wk-1", 200, "done");
             }),
             "not_done ");
+  const auto dependent = [](Judge& j) {
+    j.jobs["wk-2"].spec = array_job("wk-2", 1);
+    j.jobs["wk-2"].spec.dependencies = {"wk-1"};
+  };
+  EXPECT_EQ(judge_of([&](Judge& j) {
+              dependent(j);
+              j.done = {{"wk-1", 0}, {"wk-1", 1}};
+              j.started({"wk-2", 0}, "m1", 1);
+            }),
+            "too_early ");
+  EXPECT_EQ(judge_of([&](Judge& j) {
+              dependent(j);
+              cancelled(j);
+              j.told("wk-2", 200, "queued", 40010);
+              j.told("wk-2", 200, "queued", 40011);
+            }),
+            "orphaned ");
+  EXPECT_EQ(judge_of([](Judge& j) { j.told("wk-1", 200, "withdrawn"); }), "cancelled_unasked ");
   EXPECT_EQ(judge_of([](Judge& j) {
+              j.jobs["wk-1"].cancel_asked = true;
               j.told("wk-1", 200, "withdrawn");
               j.told("wk-1", 503, "");
               j.told("wk-1", 200, "running");
--- a/tests/standins/sim.h
+++ b/tests/standins/sim.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 
 #include "net/http_server.h"
@@ -182,24 +183,31 @@
 class SimPeers : public rpc::PeerTransport {
  public:
   using Registry = std::map<std::string, SimPeers*>;
-  SimPeers(SimNet& net, Registry& registry, std::string self)
-      : net_(net), registry_(registry), self_(std::move(self)) {
+  // `production`: the nodes whose messages say no version, and that read none, as those of the
+  // version in production.
+  SimPeers(SimNet& net, Registry& registry, std::string self,
+           const std::set<std::string>& production)
+      : net_(net), registry_(registry), self_(std::move(self)), production_(production) {
     registry_[self_] = this;
   }
   ~SimPeers() override { registry_.erase(self_); }
   void send(const std::string& node, const rpc::Message& message) override {
     if (!net_.peers_pass(self_, node)) return;
-    net_.time().after(net_.latency(), [&registry = registry_, from = self_, node, message] {
-      deliver(registry, from, node, message);
-    });
+    const rpc::PeerVersion version = production_.contains(self_) || production_.contains(node)
+                                         ? rpc::kVersionUnsaid
+                                         : rpc::kOwnVersion;
+    net_.time().after(net_.latency(),
+                      [&registry = registry_, from = self_, node, message, version] {
+                        deliver(registry, from, node, message, version);
+                      });
   }
   void reset(const std::string&) override {}
   // What a held-back connection may bring: a message that nobody sends now.
   static void deliver(const Registry& registry, const std::string& from, const std::string& node,
-                      const rpc::Message& message) {
+                      const rpc::Message& message, rpc::PeerVersion version = rpc::kOwnVersion) {
     const auto it = registry.find(node);
     if (it != registry.end() && it->second->receive_)
-      it->second->receive_(from, {rpc::kOwnVersion, message});
+      it->second->receive_(from, {version, message});
   }
   void on_receive(rpc::Receive receive) override { receive_ = std::move(receive); }
 
@@ -207,6 +215,7 @@
   SimNet& net_;
   Registry& registry_;
   std::string self_;
+  const std::set<std::string>& production_;
   rpc::Receive receive_;
 };
 
--- a/tests/standins/state_service.h
+++ b/tests/standins/state_service.h
@@ -1,6 +1,7 @@
 // Our own stand-in for the state service, after its published protocol.
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -21,6 +22,11 @@
   // Requests a second, with bursts of a second's worth; 0: no limit. What is above is refused.
   int limit = 0;
   int refused = 0;
+  // 0: no limit. A larger value or transaction gets 400, changes beyond the rate 429.
+  std::size_t value_bytes = 0;
+  std::size_t txn_ops = 0;
+  int write_limit = 0;
+  int too_large = 0;
 
   void handle(const net::Request& r, net::Answer answer) {
     expire();
@@ -153,7 +159,31 @@
             0};
   }
 
+  bool outsized(const wire::Json& changes) const {
+    if (txn_ops != 0 && changes.size() > txn_ops) return true;
+    return value_bytes != 0 && std::any_of(changes.begin(), changes.end(), [this](const auto& c) {
+             return c.contains("v") && c.at("v").dump().size() > value_bytes;
+           });
+  }
+  bool over_write_limit(std::size_t changes) {
+    if (write_limit == 0) return false;
+    const double seconds = static_cast<double>(time_.now() - writes_counted_at_) / 1000.0;
+    writes_counted_at_ = time_.now();
+    write_allowance_ = std::min<double>(write_limit, write_allowance_ + seconds * write_limit);
+    if (write_allowance_ < static_cast<double>(changes)) return true;
+    write_allowance_ -= static_cast<double>(changes);
+    return false;
+  }
+
   net::Response txn(const wire::Json& o) {
+    if (outsized(o.at("apply"))) {
+      ++too_large;
+      return {400, R"({"error":"too large"})", 0};
+    }
+    if (over_write_limit(o.at("apply").size())) {
+      ++refused;
+      return {429, R"({"error":"too many changes"})", 0};
+    }
     for (const auto& c : o.at("apply"))
       if (c.contains("permit") && leases_.count(c.at("permit").get<std::uint64_t>()) == 0)
         return {400, R"({"error":"no such lease"})", 0};
@@ -248,6 +278,8 @@
   net::Runtime& time_;
   double allowance_ = 0;
   net::Ms counted_at_ = 0;
+  double write_allowance_ = 0;
+  net::Ms writes_counted_at_ = 0;
   std::uint64_t revision_ = 0, last_lease_ = 0, last_watch_ = 0;
   std::map<std::string, Entry> keys_;
   std::map<std::uint64_t, Lease> leases_;
--- a/tests/standins/workers.h
+++ b/tests/standins/workers.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
   wire::Job spec;
   bool accepted = false;
   bool mistaken = false;  // fails on every machine
+  bool cancel_asked = false;
   bool cancelled = false;
   Ms cancelled_at = 0;
 };
@@ -52,6 +54,41 @@
     // No grace for a start.
     if (jobs[t.job].cancelled) broken.push_back("started_cancelled " + t.job);
     check_cancelled(t, now);
+    check_dependencies(t.job);
+  }
+  void check_dependencies(const std::string& id) {
+    for (const std::string& dependency : jobs[id].spec.dependencies)
+      for (std::uint32_t i = 0; i < jobs[dependency].spec.tasks; ++i)
+        if (done.count({dependency, i}) == 0) {
+          broken.push_back("too_early " + id);
+          return;
+        }
+  }
+  // The job, and those that it depends on, directly or through others.
+  std::vector<const JobFacts*> with_upstream(const std::string& id) const {
+    std::vector<const JobFacts*> found;
+    std::set<std::string> seen{id};
+    std::vector<std::string> next{id};
+    while (!next.empty()) {
+      const auto job = jobs.find(next.back());
+      next.pop_back();
+      if (job == jobs.end()) continue;
+      found.push_back(&job->second);
+      for (const std::string& dependency : job->second.spec.dependencies)
+        if (seen.insert(dependency).second) next.push_back(dependency);
+    }
+    return found;
+  }
+  bool cancel_asked(const std::string& id) const {
+    const auto all = with_upstream(id);
+    return std::any_of(all.begin(), all.end(), [](const auto* job) { return job->cancel_asked; });
+  }
+  // Since when it is cancelled, or one of those.
+  std::optional<Ms> cancelled_since(const std::string& id) const {
+    std::optional<Ms> since;
+    for (const JobFacts* job : with_upstream(id))
+      if (job->cancelled) since = std::min(since.value_or(job->cancelled_at), job->cancelled_at);
+    return since;
   }
   void stopped(const TaskKey& t, const std::string& machine, Ms now) {
     check_cancelled(t, now);
@@ -80,7 +117,7 @@
     if (used > most->second + 1e-6) broken.push_back("quota " + team);
   }
   // What a user was told of a job.
-  void told(const std::string& id, int status, const std::string& stage) {
+  void told(const std::string& id, int status, const std::string& stage, Ms now = 0) {
     const auto j = jobs.find(id);
     if (status == 200 && j == jobs.end()) broken.push_back("invented " + id);
     if (j == jobs.end()) return;
@@ -89,6 +126,12 @@
     if (!last.empty() && status == 200 && stage != last)
       broken.push_back("went_back " + id + ": " + last + " then " + stage);
     if (stage == "done" || stage == "withdrawn") last = stage;
+    const auto since = cancelled_since(id);
+    if (status == 200 && (stage == "queued" || stage == "running") && since &&
+        now > *since + cancel_ms)
+      broken.push_back("orphaned " + id);
+    // (The answer to a cancellation itself is counted after this.)
+    if (stage == "withdrawn" && !cancel_asked(id)) broken.push_back("cancelled_unasked " + id);
     if (stage != "done") return;
     for (std::uint32_t i = 0; i < j->second.spec.tasks; ++i)
       if (done.count({id, i}) == 0) broken.push_back("not_done " + id);
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -13,7 +13,13 @@
 
 namespace seampass::standins {
 
-inline config::Settings settings_for(const std::string& node) {
+// What the state service takes now, and what it will take later.
+struct StoreLimits {
+  config::StateLimits now{100, 40, 8, 10};
+  config::StateLimits next = now;
+};
+
+inline config::Settings settings_for(const std::string& node, const StoreLimits& limits = {}) {
   config::Settings s;
   s.node = node;
   s.zone = "a";
@@ -27,8 +33,8 @@
   s.gang_wait_s = 30;
   s.gang_peer_s = 4;
   s.cancel_s = 40;
-  s.state_limits = {100, 40, 8, 10};
-  s.next_state_limits = s.state_limits;
+  s.state_limits = limits.now;
+  s.next_state_limits = limits.next;
   s.cloud_rps = 4;
   s.list_lag_s = 2;
   s.core_share = 0.1;
@@ -44,8 +50,13 @@
   // LOG_LEVEL=debug in the environment shows what the controllers log.
   ~World() { *user_ = false; }
   World(const World&) = delete;
-  explicit World(unsigned seed = 1, int machines = 4)
-      : net(time, seed), state(time), cloud(net, judge, {3000, 20000, 300}, {"n0", "n1", "n2"}) {
+  explicit World(unsigned seed = 1, int machines = 4, const StoreLimits& limits = {},
+                 const std::set<std::string>& production = {})
+      : net(time, seed),
+        state(time),
+        cloud(net, judge, {3000, 20000, 300}, {"n0", "n1", "n2"}),
+        limits_(limits),
+        production_(production) {
     const char* level = std::getenv("LOG_LEVEL");
     spdlog::set_level(level ? spdlog::level::from_str(level) : spdlog::level::off);
     judge.cancel_ms = 40000;
@@ -67,6 +78,24 @@
     });
     slot->node.start();
   }
+  // The node runs the new version from its next start on.
+  void upgrade(const std::string& name) {
+    kill(name);
+    production_.erase(name);
+    start(name);
+  }
+  // The state service takes no more than this from now on.
+  void apply_limits(const config::StateLimits& limits) {
+    state.value_bytes = static_cast<std::size_t>(limits.value_kb * 1024);
+    state.txn_ops = static_cast<std::size_t>(limits.txn_ops);
+    state.write_limit = static_cast<int>(limits.write_rps);
+  }
+  // Writes a key, as another version of the program did.
+  void put(const std::string& key, const wire::Json& value) {
+    const wire::Json body{{"if", wire::Json::array()},
+                          {"apply", {wire::Json{{"write", key}, {"v", value}}}}};
+    state.handle({"POST", "/txn", body.dump()}, [](const net::Response&) {});
+  }
   void slow_down(const std::string& name, Ms lag) { nodes_.at(name)->process.lag = lag; }
   void kill(const std::string& name) {
     net.silence(name + ":8080");
@@ -112,10 +141,21 @@
     judge.jobs[job.id].spec = job;
     const Told t = ask(node, "POST", "/api/jobs", wire::to_json(job).dump());
     if (t.status == 201 || t.status == 200) judge.jobs[job.id].accepted = true;
-    if (t.status == 200) judge.told(job.id, t.status, t.stage());
+    if (t.status == 200 || t.status == 201) judge.told(job.id, t.status, t.stage(), time.now());
     return t;
   }
+  // As users do: again until it is accepted.
+  bool submit_until_accepted(const std::string& node, const wire::Job& job, Ms within = 60000) {
+    const Ms end = time.now() + within;
+    while (time.now() < end) {
+      const int status = submit(node, job).status;
+      if (status == 201 || status == 200) return true;
+      time.run_for(1000);
+    }
+    return false;
+  }
   Told cancel(const std::string& node, const std::string& id) {
+    judge.jobs[id].cancel_asked = true;
     return heard(id, ask(node, "POST", "/api/jobs/" + id + "/abort"));
   }
   // As users do: again and again, until the answer is final. Each refusal must come at once and say
@@ -134,6 +174,7 @@
   }
   // Asks and goes on; the answer counts when it comes.
   void cancel_soon(const std::string& node, const std::string& id) {
+    judge.jobs[id].cancel_asked = true;
     net.call("user", user_, {node + ":8080", "POST", "/api/jobs/" + id + "/abort", "", 5000},
              [this, id](const net::Reply& r) {
                heard(id, {r.status, wire::Json::parse(r.body, nullptr, false)});
@@ -214,7 +255,7 @@
   }
   // Its user knows from now on, whoever said so and to which question.
   Told heard(const std::string& id, const Told& t) {
-    judge.told(id, t.status, t.stage());
+    judge.told(id, t.status, t.stage(), time.now());
     if (t.status == 200 && t.stage() == "withdrawn" && !judge.jobs[id].cancelled) {
       judge.jobs[id].cancelled = true;
       judge.jobs[id].cancelled_at = time.now();
@@ -226,8 +267,8 @@
     SimNode(World& w, const std::string& name)
         : process(w.time),
           http(w.net, name, process.alive()),
-          peers(w.net, w.registry_, name),
-          settings(settings_for(name)),
+          peers(w.net, w.registry_, name, w.production_),
+          settings(settings_for(name, w.limits_)),
           node(process, http, peers, settings, op) {}
     Process process;
     SimCaller http;
@@ -237,6 +278,8 @@
     app::Node node;
   };
 
+  StoreLimits limits_;
+  std::set<std::string> production_;
   SimPeers::Registry registry_;
   std::map<std::string, std::unique_ptr<SimNode>> nodes_;
   std::vector<net::Call> recorded_;
