A cancellation that is derived is not taken for a written one

News of an acceptance that came late would have brought a dependent back whose user had cancelled it: the cache now says whether the end itself is in the store. Test: Dependencies.LateNewsOfACancelledJobIsOld.

--- a/src/jobs/api_handler.cc
+++ b/src/jobs/api_handler.cc
@@ -189,7 +189,10 @@
     a.status.id = w.id;
     if (a.verdict == rpc::Verdict::known &&
         (a.status.stage == wire::Stage::done || a.status.stage == wire::Stage::cancelled))
-      status_reader_.remember(a.status);
+      // (The leader may have derived a cancellation whose record is not written yet.)
+      status_reader_.remember(a.status, a.status.stage == wire::Stage::done
+                                            ? JobStatusReader::Source::written
+                                            : JobStatusReader::Source::derived);
     w.reply(a);
   }
 }
--- a/src/jobs/job_status_reader.cc
+++ b/src/jobs/job_status_reader.cc
@@ -26,15 +26,24 @@
   const auto entry = cache_.find(job);
   if (entry == cache_.end()) return std::nullopt;
   order_.splice(order_.begin(), order_, entry->second);
-  return *entry->second;
+  return entry->second->status;
 }
 
-void JobStatusReader::remember(const wire::JobStatus& status) {
-  if (cache_.contains(status.id)) return;
-  order_.push_front(status);
+bool JobStatusReader::written(const std::string& job) const {
+  const auto entry = cache_.find(job);
+  return entry != cache_.end() && entry->second->source == Source::written;
+}
+
+void JobStatusReader::remember(const wire::JobStatus& status, Source source) {
+  const auto entry = cache_.find(status.id);
+  if (entry != cache_.end()) {
+    if (source == Source::written) entry->second->source = source;
+    return;
+  }
+  order_.push_front({status, source});
   cache_[status.id] = order_.begin();
   if (order_.size() <= most_) return;
-  cache_.erase(order_.back().id);
+  cache_.erase(order_.back().status.id);
   order_.pop_back();
 }
 
@@ -113,7 +122,7 @@
       // An unreadable record is no answer.
       return done(Found::cannot, status, {});
     }
-    remember(status);
+    remember(status, Source::written);
     done(Found::verdict, status, {});
   });
 }
@@ -126,7 +135,7 @@
     if (const auto known = verdict(job)) {
       if (known->stage != Stage::cancelled) continue;
       walk->status.stage = Stage::cancelled;
-      remember(walk->status);
+      remember(walk->status, Source::derived);
       return walk->done(Found::verdict, walk->status, {});
     }
     const bool admitted = walk->purpose == Purpose::other || state_.admit_query();
--- a/src/jobs/job_status_reader.h
+++ b/src/jobs/job_status_reader.h
@@ -23,9 +23,15 @@
 
   JobStatusReader(state::Client& state, std::size_t most) : state_(state), most_(most) {}
 
+  // Whether the job's own end is known to be in the store, or only that of a job which it depends
+  // on, from which its own follows.
+  enum class Source { written, derived };
+
   // The final status, if it is in the cache.
   std::optional<wire::JobStatus> verdict(const std::string& job);
-  void remember(const wire::JobStatus& status);
+  // Whether it is there, and known to be written.
+  bool written(const std::string& job) const;
+  void remember(const wire::JobStatus& status, Source source);
 
   using Done = std::function<void(Found, const wire::JobStatus&, const state::Item& open)>;
 
@@ -45,8 +51,12 @@
 
   state::Client& state_;
   std::size_t most_;
-  std::list<wire::JobStatus> order_;
-  std::unordered_map<std::string, std::list<wire::JobStatus>::iterator> cache_;
+  struct Entry {
+    wire::JobStatus status;
+    Source source = Source::written;
+  };
+  std::list<Entry> order_;  // the least recently used last
+  std::unordered_map<std::string, std::list<Entry>::iterator> cache_;
 };
 
 }  // namespace seampass::jobs
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -106,8 +106,8 @@
   if (!active_ || jobs_.contains(id)) return;
   // News of an acceptance can be older than the job's end. (A verdict that has left this cache is
   // still found: the transaction that would assign its tasks compares ends/<id>.)
-  const auto ended = status_reader_.verdict(id);
-  if (ended && ended->stage == wire::Stage::done) return;
+  // (One that depends on a cancelled job may be known as cancelled before its end is written.)
+  if (status_reader_.written(id)) return;
   auto job = std::make_unique<JobRecord>();
   try {
     job->spec = wire::job_from(record.at("job"));
@@ -117,8 +117,6 @@
     return;
   }
   if (job->spec.id != id) return;
-  // (One that depends on a cancelled job may be known as cancelled before its end is written.)
-  if (ended && job->spec.dependencies.empty()) return;
   job->open_version = version;
   job->taken.assign(job->spec.tasks, false);
   job->finished.assign(job->spec.tasks, false);
@@ -229,7 +227,7 @@
   job.stage = stage;
   spdlog::debug("ended {}, {}", id, wire::stage_name(stage));
   const rpc::Answer answer = status_of(job);
-  status_reader_.remember(answer.status);
+  status_reader_.remember(answer.status, jobs::JobStatusReader::Source::written);
   for (const auto& w : std::exchange(job.waiters, {})) w(answer);
   stop_all(job, 0);
   erase_if_settled(id);
--- a/tests/dependencies_test.cc
+++ b/tests/dependencies_test.cc
@@ -253,6 +253,26 @@
   w.expect_rules();
 }
 
+// News of an acceptance that comes after the job's end does not bring it back.
+TEST(Dependencies, LateNewsOfACancelledJobIsOld) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  w.submit("n0", array_job("wk-1", 1, 3));
+  const auto second = after(array_job("wk-2", 1, 300), {"wk-1"});
+  w.submit("n0", second);
+  ASSERT_TRUE(w.reaches("wk-2", "running", 60000));
+  const std::string leader = w.leader(), follower = w.follower();
+  ASSERT_EQ(w.cancel_until_told(leader, "wk-2", 30000).stage(), "withdrawn");
+  w.time.run_for(5000);
+  const std::string record = leader::Controller::open_record(second, 1).dump();
+  w.deliver(follower, leader, rpc::Accepted{"wk-2", record, 1'000'000});
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(w.poll(follower, "wk-2").stage(), "withdrawn");
+    w.time.run_for(100);
+  }
+  w.expect_rules();
+}
+
 // `done` of a job is in the leader's memory, and not in the store: nothing that depends on it may
 // start, since the next leader may run it on.
 TEST(Dependencies, WaitForTheDurableEnd) {
