--- a/src/leader/dependency_tracker.cc
+++ b/src/leader/dependency_tracker.cc
@@ -34,7 +34,7 @@
   apply(stage == wire::Stage::done ? graph_.finish(job) : graph_.cancel(job));
 }
 
-void DependencyTracker::apply(const sched::DependencyGraph::Effects& effects) {
+void DependencyTracker::apply(const sched::DependencyGraph::Effects& effects) const {
   const std::uint64_t term = term_;
   for (const std::string& job : effects.ready)
     if (term == term_) hooks_.ready(job);
--- a/src/leader/dependency_tracker.h
+++ b/src/leader/dependency_tracker.h
@@ -38,7 +38,7 @@
   const sched::DependencyGraph& graph() const { return graph_; }
 
  private:
-  void apply(const sched::DependencyGraph::Effects& effects);
+  void apply(const sched::DependencyGraph::Effects& effects) const;
   void read_unknown();
   void read(const std::string& job);
 
--- a/src/leader/record_layout.h
+++ b/src/leader/record_layout.h
@@ -6,9 +6,8 @@
 #pragma once
 
 #include <algorithm>
-#include <compare>
 #include <cstdint>
-#include <string>
+#include <tuple>
 
 namespace seampass::leader {
 
@@ -19,7 +18,10 @@
   Layout layout = Layout::chunks;
   std::uint32_t index = 0;
 
-  auto operator<=>(const RecordId&) const = default;
+  bool operator==(const RecordId&) const = default;
+  bool operator<(const RecordId& o) const {
+    return std::tie(layout, index) < std::tie(o.layout, o.index);
+  }
 };
 
 // Tasks from `first` up to, and without, `end`.
--- a/src/sched/dependency_graph.cc
+++ b/src/sched/dependency_graph.cc
@@ -58,9 +58,9 @@
     Node& node = *changed.back();
     changed.pop_back();
     const auto& counts = node.downstream_by_priority;
-    const auto first = std::find_if(counts.begin(), counts.end(), [](auto n) { return n > 0; });
-    const auto highest = static_cast<Priority>(first - counts.begin());
-    const Priority effective = std::min(node.own, highest);
+    Priority effective = node.own;
+    for (std::size_t i = 0; i < index_of(node.own); ++i)
+      if (counts.at(i) > 0) effective = std::min(effective, static_cast<Priority>(i));
     if (effective == node.effective) continue;
     for (Node* dependency : node.upstream) {
       --dependency->downstream_by_priority[index_of(node.effective)];
@@ -161,7 +161,7 @@
   return node && node->state == State::cancelled;
 }
 
-std::vector<const DependencyGraph::Node*> DependencyGraph::visit_upstream(const Node& job) const {
+std::vector<const DependencyGraph::Node*> DependencyGraph::visit_upstream(const Node& job) {
   std::vector<const Node*> found;
   std::unordered_set<const Node*> seen{&job};
   std::vector<const Node*> next{&job};
--- a/src/sched/dependency_graph.h
+++ b/src/sched/dependency_graph.h
@@ -70,13 +70,13 @@
 
   Node& ensure(const std::string& job);
   const Node* find(const std::string& job) const;
-  void connect(Node& job, Node& dependency);
-  void disconnect(Node& job, Node& dependency);
+  static void connect(Node& job, Node& dependency);
+  static void disconnect(Node& job, Node& dependency);
   void disconnect_upstream(Node& job);
   // Brings the effective priorities of this job and of those upstream up to date.
-  void update_priority(Node& job);
+  static void update_priority(Node& job);
   std::vector<std::string> cancel_downstream(Node& job);
-  std::vector<const Node*> visit_upstream(const Node& job) const;
+  static std::vector<const Node*> visit_upstream(const Node& job);
   void erase(Node& job);
 
   std::unordered_map<std::string, Node> nodes_;
