--- a/src/leader/record_store.cc
+++ b/src/leader/record_store.cc
@@ -46,6 +46,7 @@
   r.urgency = r.dirty ? std::min(r.urgency, urgency) : urgency;
   r.dirty = true;
   if (durable) r.waiters.push_back(std::move(durable));
+  hurry(job, urgency);
   flush(job);
 }
 
@@ -67,9 +68,23 @@
                       std::uint64_t done, Urgency urgency,
                       std::function<void(wire::Stage)> durable) {
   jobs_[job].ending = Ending{open_version, stage, done, urgency, std::move(durable)};
+  hurry(job, urgency);
   flush(job);
 }
 
+// A transaction of the job that still waits for its turn is taken back, to go with what is more
+// urgent: that would wait for it otherwise, for as long as the service takes all that it can.
+void RecordStore::hurry(const std::string& job, Urgency urgency) {
+  Entry& e = jobs_.at(job);
+  if (!e.busy || e.ticket == 0 || urgency >= e.urgency || !state_.withdraw(e.ticket)) return;
+  for (const RecordId& id : e.sent) {
+    e.records[id].sending = false;
+    e.records[id].dirty = true;
+  }
+  e.ticket = 0;
+  e.busy = false;
+}
+
 bool RecordStore::settled(const std::string& job, const RecordId& id) const {
   const auto j = jobs_.find(job);
   if (j == jobs_.end()) return true;
@@ -202,13 +217,21 @@
   const bool doubt = in_doubt_.contains(job);
   if (batch.verdict) in_doubt_.insert(job);
   state::Txn txn = std::move(batch.txn);
-  const Urgency urgency = batch.urgency;
-  state_.txn(std::move(txn), urgency,
-             [this, term = term_, job, batch = std::move(batch), doubt](const state::TxnResult& t) {
-               if (term != term_ || !jobs_.contains(job)) return;
-               if (t.outcome == Outcome::ok) return applied(job, batch, t.revision);
-               failed(job, batch, doubt, t);
-             });
+  e.urgency = batch.urgency;
+  e.sent = batch.ids;
+  e.ticket = 0;
+  // (One with a final status is never taken back: from when it is sent that is in doubt.)
+  const bool keep = batch.verdict;
+  const auto ticket = state_.txn(
+      std::move(txn), e.urgency,
+      [this, term = term_, job, batch = std::move(batch), doubt](const state::TxnResult& t) {
+        if (term != term_ || !jobs_.contains(job)) return;
+        jobs_.at(job).ticket = 0;
+        if (t.outcome == Outcome::ok) return applied(job, batch, t.revision);
+        failed(job, batch, doubt, t);
+      });
+  const auto entry = jobs_.find(job);
+  if (!keep && entry != jobs_.end() && entry->second.busy) entry->second.ticket = ticket;
 }
 
 void RecordStore::failed(const std::string& job, const Batch& batch, bool doubt,
--- a/src/leader/record_store.h
+++ b/src/leader/record_store.h
@@ -96,6 +96,10 @@
     std::optional<Ending> ending;
     bool ended = false;  // the verdict is in the store
     bool busy = false;
+    // Of the transaction on its way: may still wait for its turn.
+    state::Client::Ticket ticket = 0;
+    state::Urgency urgency = state::Urgency::progress;
+    std::vector<RecordId> sent;
   };
 
   // One transaction, and what it changes.
@@ -109,6 +113,7 @@
   };
 
   void flush(const std::string& job);
+  void hurry(const std::string& job, state::Urgency urgency);
   bool settle_unneeded(const std::string& job);
   void add_ending(const std::string& job, Batch& batch) const;
   void add_records(const std::string& job, Batch& batch);
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -96,7 +96,7 @@
          });
 }
 
-void Client::txn(Txn txn, Urgency urgency, std::function<void(TxnResult)> done) {
+Client::Ticket Client::txn(Txn txn, Urgency urgency, std::function<void(TxnResult)> done) {
   Json conditions = Json::array();
   Json changes = Json::array();
   for (const Condition& c : txn.conditions)
@@ -108,14 +108,14 @@
   }
   const int writes = static_cast<int>(txn.changes.size());
   Json body{{"if", std::move(conditions)}, {"apply", std::move(changes)}};
-  submit(urgency, Call{endpoint_, "POST", "/txn", body.dump(), timeout_}, writes,
-         [done = std::move(done)](const Reply& r) {
-           done(parsed<TxnResult>(r, [](TxnResult& t, const Json& o) {
-             t.revision = wire::count_field(o, "ledger_rev");
-             if (t.outcome != Outcome::conflict) return;
-             for (const Json& k : o.at("failed")) t.failed.push_back(k.get<std::string>());
-           }));
-         });
+  return submit(urgency, Call{endpoint_, "POST", "/txn", body.dump(), timeout_}, writes,
+                [done = std::move(done)](const Reply& r) {
+                  done(parsed<TxnResult>(r, [](TxnResult& t, const Json& o) {
+                    t.revision = wire::count_field(o, "ledger_rev");
+                    if (t.outcome != Outcome::conflict) return;
+                    for (const Json& k : o.at("failed")) t.failed.push_back(k.get<std::string>());
+                  }));
+                });
 }
 
 void Client::watch(const std::string& prefix, Version since, Ms wait,
@@ -185,16 +185,30 @@
   return true;
 }
 
-void Client::submit(Urgency urgency, Call call, int writes, net::ReplyFn done) {
-  Pending p{std::move(call), writes, std::move(done)};
+bool Client::withdraw(Ticket ticket) {
+  for (auto& queue : queues_) {
+    const auto found = std::find_if(queue.begin(), queue.end(),
+                                    [ticket](const Pending& p) { return p.ticket == ticket; });
+    if (found == queue.end()) continue;
+    queue.erase(found);
+    return true;
+  }
+  return false;
+}
+
+Client::Ticket Client::submit(Urgency urgency, Call call, int writes, net::ReplyFn done) {
+  Pending p{std::move(call), writes, std::move(done), ++last_ticket_};
+  const Ticket ticket = p.ticket;
   // What keeps the leadership alive never waits behind other work.
   if (urgency == Urgency::lease) {
     refill();
     requests_.take(1);
-    return send(std::move(p));
+    send(std::move(p));
+    return ticket;
   }
   queues_[static_cast<int>(urgency)].push_back(std::move(p));
   pump();
+  return ticket;
 }
 
 void Client::refill() {
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -96,7 +96,11 @@
            Urgency urgency = Urgency::verdict);
   void list(const std::string& prefix, const std::string& after,
             std::function<void(ListResult)> done);
-  void txn(Txn txn, Urgency urgency, std::function<void(TxnResult)> done);
+  // A name for the request while it waits for its turn.
+  using Ticket = std::uint64_t;
+  Ticket txn(Txn txn, Urgency urgency, std::function<void(TxnResult)> done);
+  // Takes a request back that was not sent yet: `done` is not called. False if it is too late.
+  bool withdraw(Ticket ticket);
   void watch(const std::string& prefix, Version since, net::Ms wait,
              std::function<void(WatchResult)> done);
   void grant(net::Ms ttl, std::function<void(LeaseResult)> done);
@@ -118,8 +122,9 @@
     net::Call call;
     int writes = 0;
     net::ReplyFn done;
+    Ticket ticket = 0;
   };
-  void submit(Urgency urgency, net::Call call, int writes, net::ReplyFn done);
+  Ticket submit(Urgency urgency, net::Call call, int writes, net::ReplyFn done);
   void pump();
   void refill();
   void send(Pending p);
@@ -134,6 +139,7 @@
   AdaptiveRate query_rate_;
   std::deque<Pending> queues_[4];
   net::TimerId timer_ = 0;
+  Ticket last_ticket_ = 0;
   int failures_ = 0;
 };
 
--- a/tests/record_store_test.cc
+++ b/tests/record_store_test.cc
@@ -87,6 +87,29 @@
   EXPECT_EQ(stored("work/wk-1/0"), (wire::Json{{"n", 2}}));
 }
 
+// More is to be written than the service takes: what of a job waits behind all of that does not
+// hold up its end, and goes with it in one transaction.
+TEST_F(RecordStoreTest, AnEndDoesNotWaitForProgressOfItsJob) {
+  state::Client slow(process, http, "state:1", 1000, 4, 500);
+  RecordStore busy(process, slow, {1000, 4, 8, 10},
+                   {[this](const std::string&, const RecordId&) { return value; }, [] {},
+                    [](const std::string&, wire::Stage) {}, [] {}});
+  busy.begin(revision);
+  for (int i = 10; i < 40; ++i)
+    busy.changed("wk-" + std::to_string(i), chunk, state::Urgency::assignment);
+  bool recorded = false, ended = false;
+  put("open/wk-1", {{"n", 1}});
+  const state::Version open = revision;
+  busy.changed("wk-1", chunk, state::Urgency::progress, [&] { recorded = true; });
+  busy.end("wk-1", open, wire::Stage::done, 1, state::Urgency::verdict,
+           [&](wire::Stage) { ended = true; });
+  time.run_for(1500);
+  EXPECT_TRUE(ended);
+  EXPECT_TRUE(recorded);
+  EXPECT_TRUE(service.has("ends/wk-1"));
+  EXPECT_FALSE(service.has("work/wk-39/0"));
+}
+
 TEST_F(RecordStoreTest, FormerLeaderWritesNothing) {
   put(Election::kKey, {{"node", "n1"}});
   bool durable = false;
