--- a/src/jobs/api_handler.cc
+++ b/src/jobs/api_handler.cc
@@ -57,7 +57,7 @@
     return false;
   };
   if (path == "/checkin") {
-    if (want("POST")) checkin(request, answer);
+    if (want("POST")) heartbeat(request, answer);
     return;
   }
   if (path == "/up") {
@@ -84,7 +84,7 @@
 void ApiHandler::status(const std::string& id, Purpose purpose, const Reply& reply) {
   rpc::Answer known;
   known.verdict = rpc::Verdict::known;
-  if (const auto v = status_reader_.verdict(id)) {
+  if (const auto v = status_reader_.final_status(id)) {
     known.status = *v;
     return reply(known);
   }
@@ -112,7 +112,8 @@
 }
 
 void ApiHandler::cancel(const std::string& id, const Answer& answer) {
-  if (const auto v = status_reader_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
+  if (const auto v = status_reader_.final_status(id))
+    return answer({200, wire::accepted_json(*v), 0});
   // Only the leader ends jobs, so that none of its answers can be older than the verdict.
   ask_leader({0, id, true, ""}, net::ms(settings_.report_s), [answer](const rpc::Answer& a) {
     if (a.verdict == rpc::Verdict::cannot) return answer(later("no leader can answer"));
@@ -123,12 +124,12 @@
   });
 }
 
-void ApiHandler::checkin(const net::Request& request, const Answer& answer) {
-  election_.worker_came();
+void ApiHandler::heartbeat(const net::Request& request, const Answer& answer) {
+  election_.on_worker_heard();
   if (!election_.leading()) return answer({421, wire::redirect_answer(election_.leader()), 0});
   try {
     const wire::WorkerReport report = wire::report_from(request.body);
-    auto r = controller_.checkin(report);
+    auto r = controller_.heartbeat(report);
     answer({r.status, std::move(r.body), 0, report.tasks.empty()});
   } catch (const wire::Malformed& e) {
     answer(refusal(400, e.what()));
@@ -178,7 +179,7 @@
     if (leads->round != 0)
       peers_.send(from, rpc::Word{leads->round, election_.heard(), election_.up()});
   } else if (const auto* word = std::get_if<rpc::Word>(&message)) {
-    election_.hear_word(from, word->round, word->warrant, word->up_ms);
+    election_.on_confirmation(from, word->round, word->warrant, word->up_ms);
   } else if (const auto* answer = std::get_if<rpc::Answer>(&message)) {
     const auto it = asks_.find(answer->number);
     if (it == asks_.end() || it->second.node != from) return;
--- a/src/jobs/api_handler.h
+++ b/src/jobs/api_handler.h
@@ -52,7 +52,7 @@
   void status(const std::string& id, Purpose purpose, const Reply& reply);
   void current(const std::string& id, const net::Answer& answer);
   void cancel(const std::string& id, const net::Answer& answer);
-  void checkin(const net::Request& request, const net::Answer& answer);
+  void heartbeat(const net::Request& request, const net::Answer& answer);
   // Asks the leader, this node or another.
   void ask_leader(rpc::Ask ask, net::Ms timeout, Reply reply);
 
--- a/src/jobs/job_status_reader.cc
+++ b/src/jobs/job_status_reader.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-std::optional<wire::JobStatus> JobStatusReader::verdict(const std::string& job) {
+std::optional<wire::JobStatus> JobStatusReader::final_status(const std::string& job) {
   const auto entry = cache_.find(job);
   if (entry == cache_.end()) return std::nullopt;
   order_.splice(order_.begin(), order_, entry->second);
@@ -48,20 +48,20 @@
 }
 
 void JobStatusReader::query(const std::string& job, Done done) {
-  if (const auto known = verdict(job)) return done(Found::verdict, *known, {});
+  if (const auto known = final_status(job)) return done(Found::ended, *known, {});
   if (!state_.admit_query()) return done(Found::cannot, {}, {});
   read_open(job, Purpose::query, std::move(done));
 }
 
 void JobStatusReader::read(const std::string& job, Done done) {
-  if (const auto known = verdict(job)) return done(Found::verdict, *known, {});
+  if (const auto known = final_status(job)) return done(Found::ended, *known, {});
   read_open(job, Purpose::other, std::move(done));
 }
 
 // (A job that is not in `ends/` may have moved there since its `open/` was listed, or may be open:
 // then both are read, in the order that misses nothing.)
 void JobStatusReader::read_ended(const std::string& job, Done done) {
-  if (const auto known = verdict(job)) return done(Found::verdict, *known, {});
+  if (const auto known = final_status(job)) return done(Found::ended, *known, {});
   read_final(job, [this, job, done = std::move(done)](Found found, const wire::JobStatus& status,
                                                       const state::Item& item) {
     if (found == Found::none) return read_open(job, Purpose::other, done);
@@ -123,7 +123,7 @@
       return done(Found::cannot, status, {});
     }
     remember(status, Source::written);
-    done(Found::verdict, status, {});
+    done(Found::ended, status, {});
   });
 }
 
@@ -132,17 +132,17 @@
   while (!walk->next.empty()) {
     const std::string job = std::move(walk->next.back());
     walk->next.pop_back();
-    if (const auto known = verdict(job)) {
+    if (const auto known = final_status(job)) {
       if (known->stage != Stage::cancelled) continue;
       walk->status.stage = Stage::cancelled;
       remember(walk->status, Source::derived);
-      return walk->done(Found::verdict, walk->status, {});
+      return walk->done(Found::ended, walk->status, {});
     }
     const bool admitted = walk->purpose == Purpose::other || state_.admit_query();
     if (!admitted || ++walk->reads > kMostUpstreamReads)
       return walk->done(Found::cannot, walk->status, {});
     const auto next = [this, walk, job](Found found, const wire::JobStatus&, const state::Item&) {
-      if (found != Found::verdict) return walk->done(Found::cannot, walk->status, {});
+      if (found != Found::ended) return walk->done(Found::cannot, walk->status, {});
       walk->next.push_back(job);  // it is in the cache now
       walk_upstream(walk);
     };
--- a/src/jobs/job_status_reader.h
+++ b/src/jobs/job_status_reader.h
@@ -19,7 +19,7 @@
  public:
   // `open` is said only of a job none of whose dependencies, direct or not, was read as cancelled:
   // such a job counts as cancelled itself, whether that is written or not.
-  enum class Found { verdict, open, none, cannot };
+  enum class Found { ended, open, none, cannot };
 
   JobStatusReader(state::Client& state, std::size_t most) : state_(state), most_(most) {}
 
@@ -28,7 +28,7 @@
   enum class Source { written, derived };
 
   // The final status, if it is in the cache.
-  std::optional<wire::JobStatus> verdict(const std::string& job);
+  std::optional<wire::JobStatus> final_status(const std::string& job);
   // Whether it is there, and known to be written.
   bool written(const std::string& job) const;
   void remember(const wire::JobStatus& status, Source source);
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -54,14 +54,15 @@
     return answer(refusal(400, e.what()));
   }
   const std::string id = job.id;
-  if (const auto v = status_reader_.verdict(id)) return answer({200, wire::accepted_json(*v), 0});
+  if (const auto v = status_reader_.final_status(id))
+    return answer({200, wire::accepted_json(*v), 0});
   if (!types_.known()) return answer(later("machine types not known yet"));
   const wire::Json record = leader::Controller::open_record(job, runtime_.wall());
   std::string why = impossible(job);
   if (why.empty() && !storable(record)) why = "too large to be stored";
   if (!why.empty()) return refuse(id, why, answer);
   // More waits for the store than it can take before the user would give up.
-  if (state_.backlog(state::Urgency::verdict) > net::ms(settings_.report_s / 3))
+  if (state_.backlog(state::Urgency::final_status) > net::ms(settings_.report_s / 3))
     return answer(later("busy"));
   if (job.dependencies.empty()) return accept_new(id, record, false, answer);
   check_dependencies(job.dependencies, [this, id, record, answer](Dependencies found) {
@@ -128,7 +129,7 @@
   state::Txn txn;
   txn.conditions = {{leader::open_key(id), 0}, {leader::ends_key(id), 0}};
   txn.changes.push_back({leader::open_key(id), record, 0});
-  state_.txn(std::move(txn), state::Urgency::verdict,
+  state_.txn(std::move(txn), state::Urgency::final_status,
              [this, id, record, elsewhere, reply](const state::TxnResult& t) {
                if (t.outcome == Outcome::conflict) return status(id, Purpose::acceptance, reply);
                // Not known, or not done: the transaction can be tried again from anywhere.
--- a/src/leader/cluster_version.cc
+++ b/src/leader/cluster_version.cc
@@ -98,7 +98,7 @@
   state::Txn txn;
   txn.conditions = {{Election::kKey, epoch_}, {kKey, 0}};
   txn.changes.push_back({kKey, value, 0});
-  state_.txn(std::move(txn), state::Urgency::verdict,
+  state_.txn(std::move(txn), state::Urgency::final_status,
              [this, term = term_, value](const state::TxnResult& result) {
                if (term != term_) return;
                if (result.outcome == Outcome::ok) {
--- a/src/leader/cluster_view.cc
+++ b/src/leader/cluster_view.cc
@@ -200,7 +200,7 @@
     v.wait_budget_s = wait_budget_s(*job);
     v.urgent = arrivals_.contains(job->spec.klass);
     v.guaranteed = guaranteed.contains(job.get());
-    v.turn = v.guaranteed ? 0 : 1;
+    v.fair_share_rank = v.guaranteed ? 0 : 1;
     v.tasks = job->spec.tasks;
     for (const auto& [task, c] : job->attempts) ++v.placed[c.machine->zone];
     v.blocked = now < job->retry_at;
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -29,7 +29,7 @@
           runtime, state, settings.state_limits.least(settings.next_state_limits),
           {[this](const std::string& id, const RecordId& record) { return render(id, record); },
            [this] { election_.lost(); },
-           [this](const std::string& id, wire::Stage stage) { verdict(id, stage); },
+           [this](const std::string& id, wire::Stage stage) { on_ended(id, stage); },
            [this] { cluster_.finalize(); }}),
       fleet_(runtime, cloud, types, settings, op, [this](Machine& m) { forget_machine(m); }),
       layout_(cluster.spans()),
@@ -213,13 +213,13 @@
   const std::string id = job.spec.id;
   const bool done = job.finished_count == job.spec.tasks;
   // What is cancelled with another follows from that one's end: nobody waits for its own.
-  const Urgency urgency = job.upstream_cancelled ? Urgency::progress : Urgency::verdict;
+  const Urgency urgency = job.upstream_cancelled ? Urgency::progress : Urgency::final_status;
   records_.end(id, job.open_version, done ? wire::Stage::done : wire::Stage::cancelled,
                job.finished_count, urgency,
-               [this, id](wire::Stage actual) { verdict(id, actual); });
+               [this, id](wire::Stage actual) { on_ended(id, actual); });
 }
 
-void Controller::verdict(const std::string& id, wire::Stage stage) {
+void Controller::on_ended(const std::string& id, wire::Stage stage) {
   JobRecord* found = find_job(id);
   if (!found) return;
   JobRecord& job = *found;
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -36,7 +36,7 @@
 
 namespace seampass::leader {
 
-struct CheckinAnswer {
+struct HeartbeatAnswer {
   int status = 503;
   std::string body;
 };
@@ -51,7 +51,7 @@
   void begin();
   void stop();
 
-  CheckinAnswer checkin(const wire::WorkerReport& report);
+  HeartbeatAnswer heartbeat(const wire::WorkerReport& report);
   // News that a job was accepted, from this node or another.
   void on_accepted(const std::string& id, const wire::Json& record, state::Version version);
   // A poll or a cancellation; `cannot` unless the lease surely holds.
@@ -94,7 +94,7 @@
   void cancel_job(JobRecord& job);
   void conclude(JobRecord& job);
   void note_arrival(const JobRecord& job);
-  void verdict(const std::string& id, wire::Stage stage);
+  void on_ended(const std::string& id, wire::Stage stage);
   void erase_if_settled(const std::string& id);
   static rpc::Answer status_of(const JobRecord& job);
 
--- a/src/leader/dependency_tracker.cc
+++ b/src/leader/dependency_tracker.cc
@@ -54,7 +54,7 @@
                             [this, term = term_, job](Found found, const wire::JobStatus& status,
                                                       const state::Item& open) {
                               if (term != term_) return;
-                              if (found == Found::verdict) {
+                              if (found == Found::ended) {
                                 reading_.erase(job);
                                 return ended(job, status.stage);
                               }
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -32,7 +32,7 @@
 }
 
 bool Election::may_answer() const {
-  return leading_ && (holds() || runtime_.now() < std::max(granted_, vouched_) + times_.grace);
+  return leading_ && (holds() || runtime_.now() < std::max(granted_, confirmed_at_) + times_.grace);
 }
 
 void Election::retry(std::function<void()> what) {
@@ -97,11 +97,11 @@
   if (resigned_ && now - *resigned_ < times_.ttl) return retry([this] { read(); });
   // So does, once, a node that no worker has come to: without a leader they come to every node that
   // they can reach.
-  if (!let_others_ && !(came_ && now - *came_ < times_.ttl)) {
-    let_others_ = true;
+  if (!yielded_once_ && !(worker_heard_at_ && now - *worker_heard_at_ < times_.ttl)) {
+    yielded_once_ = true;
     return retry([this] { read(); });
   }
-  let_others_ = false;
+  yielded_once_ = false;
   const std::uint64_t term = ++term_;
   granted_ = runtime_.now();
   state_.grant(times_.ttl, [this, term](const state::LeaseResult& g) {
@@ -132,7 +132,7 @@
     if (term == term_) renew();
   });
   heard_ = warrant;
-  vouched_ = 0;
+  confirmed_at_ = 0;
   elected_();
   announce_(0);
 }
@@ -150,7 +150,7 @@
       // Perhaps the store is down for all. Nobody can have answered a cancellation that we don't
       // know of unless somebody took over: if none did, the grace counts from now.
       asked_ = runtime_.now();
-      words_.clear();
+      confirmations_.clear();
       announce_(++round_);
     }
     const net::Ms pause = o == Outcome::ok ? times_.ttl / 4 : times_.ttl / 8;
@@ -160,8 +160,8 @@
   });
 }
 
-void Election::hear_word(const std::string& node, std::uint64_t round, std::uint64_t warrant,
-                         net::Ms up_ms) {
+void Election::on_confirmation(const std::string& node, std::uint64_t round, std::uint64_t warrant,
+                               net::Ms up_ms) {
   if (!leading_) return;
   if (warrant > warrant_) return lost();
   // Whoever was asked in this term knows of it: this is a late copy of a word given in an earlier
@@ -171,8 +171,8 @@
   // whether it did; one that started later may have forgotten, and its word is worth nothing.
   // (Its time is taken against the word's arrival, since the asking may have been held up.)
   if (round != round_ || up_ms - up_ms / 1000 < runtime_.now() - granted_) return;
-  words_.insert(node);
-  if (words_.size() == peers_) vouched_ = std::max(vouched_, asked_);
+  confirmations_.insert(node);
+  if (confirmations_.size() == peers_) confirmed_at_ = std::max(confirmed_at_, asked_);
 }
 
 // A leader that the state service has stopped answering would go on telling workers to stay until
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -41,12 +41,12 @@
   // two of a worker's leases of the last time: perhaps no node is.
   bool resign();
   // A worker's report has come to this node, whether it leads or not.
-  void worker_came() { came_ = runtime_.now(); }
+  void on_worker_heard() { worker_heard_at_ = runtime_.now(); }
   // Somebody learned that another has taken over.
   void lost();
   // What another node knows, in answer to an announcement with a round.
-  void hear_word(const std::string& node, std::uint64_t round, std::uint64_t warrant,
-                 net::Ms up_ms);
+  void on_confirmation(const std::string& node, std::uint64_t round, std::uint64_t warrant,
+                       net::Ms up_ms);
   // The highest warrant that anybody is known to have led with.
   std::uint64_t heard() const { return heard_; }
   net::Ms up() const { return runtime_.now() - started_; }
@@ -76,13 +76,13 @@
   std::uint64_t lease_ = 0, warrant_ = 0;
   std::uint64_t heard_ = 0;
   // When every other controller's word was last asked for and given: nobody had taken over by then.
-  net::Ms vouched_ = 0, asked_ = 0, started_ = 0;
+  net::Ms confirmed_at_ = 0, asked_ = 0, started_ = 0;
   std::uint64_t round_ = 0;
-  std::set<std::string> words_;
+  std::set<std::string> confirmations_;
   state::Version seen_ = 0;
   net::Ms granted_ = 0;
-  std::optional<net::Ms> resigned_, came_;
-  bool let_others_ = false;
+  std::optional<net::Ms> resigned_, worker_heard_at_;
+  bool yielded_once_ = false;
   std::uint64_t term_ = 0;  // answers meant for an earlier term are dropped
 };
 
--- a/src/leader/fleet.h
+++ b/src/leader/fleet.h
@@ -35,7 +35,7 @@
   std::uint64_t session = 0, seq = 0, token = 0;
   // Session and seq of the latest check-in that showed this leader's warrant, and of the latest
   // that did not.
-  std::pair<std::uint64_t, std::uint64_t> checkin, last_unconfirmed_heartbeat;
+  std::pair<std::uint64_t, std::uint64_t> last_heartbeat, last_unconfirmed_heartbeat;
   net::Ms last_command_ack_at = -1;  // last command that was, or may have been, executed; -1: none
   bool inspecting = false;           // an inspection is on its way
   std::optional<net::Ms> taken_at;   // spot notice
--- a/src/leader/heartbeats.cc
+++ b/src/leader/heartbeats.cc
@@ -18,7 +18,7 @@
 }
 }  // namespace
 
-CheckinAnswer Controller::checkin(const wire::WorkerReport& report) {
+HeartbeatAnswer Controller::heartbeat(const wire::WorkerReport& report) {
   if (!active_ || !election_.may_answer()) return {503, "{}"};
   if (report.token > election_.warrant()) {  // another leads already
     election_.lost();
@@ -32,15 +32,15 @@
     machine.zone = report.zone;
     machine.spot = report.spot;
   }
-  const std::pair heartbeat{report.session, report.seq};
+  const std::pair position{report.session, report.seq};
   if (report.token < election_.warrant()) {
     // It has not heard this leader. Or it is a late copy, perhaps from a former life of the machine
     // with more sessions than this one: so it is answered, to be heard, and proves nothing.
     // A worker keeps the highest epoch that it has seen; one that shows less than before is a
     // copy, or has begun anew, and what it had is given up like that of any silent machine.
-    if (report.token < machine.token || heartbeat == machine.last_unconfirmed_heartbeat)
+    if (report.token < machine.token || position == machine.last_unconfirmed_heartbeat)
       return {503, "{}"};
-    machine.last_unconfirmed_heartbeat = heartbeat;
+    machine.last_unconfirmed_heartbeat = position;
     machine.note_heartbeat(runtime_.now());
     return {200, wire::checkin_answer(election_.warrant(), {})};
   }
@@ -48,8 +48,8 @@
   // A copy that comes late is no sign of life: its worker got the answer to the first, or none. But
   // it may also be a machine that ended and was back at once, counting from the start again. So it
   // gets no answer that renews a lease: every one that does must count as heard.
-  if (heartbeat <= machine.checkin) return {503, "{}"};
-  machine.checkin = heartbeat;
+  if (position <= machine.last_heartbeat) return {503, "{}"};
+  machine.last_heartbeat = position;
   machine.note_heartbeat(runtime_.now());
   // (The answer to a command may have overtaken it.)
   if (!loaded_ || !is_newer(report, machine))
@@ -141,7 +141,7 @@
   if (task.cause != ExitCause::done) return false;
   const JobRecord* job = find_job(task.job);
   if (job && !job->ended) return false;
-  const auto final_status = status_reader_.verdict(task.job);
+  const auto final_status = status_reader_.final_status(task.job);
   return final_status && final_status->stage == wire::Stage::done;
 }
 
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -65,7 +65,7 @@
                   [&](const JobRecord* job) { return age_s(*job) > patience; })) {
     std::map<std::string, double> guaranteed;
     for (const config::Team& t : settings_.teams) guaranteed[t.name] = t.gpus;
-    sched::set_turns(snapshot_.jobs, snapshot_.teams, guaranteed);
+    sched::set_fair_share_ranks(snapshot_.jobs, snapshot_.teams, guaranteed);
   }
   keep_zones(jobs);
   // Room that is held is taken in the snapshot only until the pass is over.
--- a/src/leader/record_store.cc
+++ b/src/leader/record_store.cc
@@ -67,7 +67,7 @@
 void RecordStore::end(const std::string& job, state::Version open_version, wire::Stage stage,
                       std::uint64_t done, Urgency urgency,
                       std::function<void(wire::Stage)> durable) {
-  jobs_[job].ending = Ending{open_version, stage, done, urgency, std::move(durable)};
+  jobs_[job].ending = FinalStatus{open_version, stage, done, urgency, std::move(durable)};
   hurry(job, urgency);
   flush(job);
 }
@@ -299,7 +299,7 @@
     state_.get(ends_key(job), [this, job, ids, current, again](const state::GetResult& g) {
       if (!current()) return;
       if (g.outcome != Outcome::ok && g.outcome != Outcome::missing) return again(ids, true);
-      if (g.outcome == Outcome::ok) take_verdict(job, g.item);
+      if (g.outcome == Outcome::ok) take_final_status(job, g.item);
       if (current()) read_back(job, ids, false);
     });
     return;
@@ -320,7 +320,7 @@
 }
 
 // The first verdict stands, ours or another's.
-void RecordStore::take_verdict(const std::string& job, const state::Item& item) {
+void RecordStore::take_final_status(const std::string& job, const state::Item& item) {
   Entry& e = jobs_.at(job);
   if (e.ended) return;
   std::function<void(wire::Stage)> ended;
--- a/src/leader/record_store.h
+++ b/src/leader/record_store.h
@@ -84,16 +84,16 @@
     state::Urgency urgency = state::Urgency::progress;
     std::vector<std::function<void()>> waiters;
   };
-  struct Ending {
+  struct FinalStatus {
     state::Version open_version = 0;
     wire::Stage stage = wire::Stage::done;
     std::uint64_t done = 0;
-    state::Urgency urgency = state::Urgency::verdict;
+    state::Urgency urgency = state::Urgency::final_status;
     std::function<void(wire::Stage)> durable;
   };
   struct Entry {
     std::map<RecordId, Record> records;
-    std::optional<Ending> ending;
+    std::optional<FinalStatus> ending;
     bool ended = false;  // the verdict is in the store
     bool busy = false;
     // Of the transaction on its way: may still wait for its turn.
@@ -123,7 +123,7 @@
               const state::TxnResult& result);
   void applied(const std::string& job, const Batch& batch, state::Version version);
   void read_back(const std::string& job, std::vector<RecordId> ids, bool verdict);
-  void take_verdict(const std::string& job, const state::Item& item);
+  void take_final_status(const std::string& job, const state::Item& item);
 
   net::Runtime& runtime_;
   state::Client& state_;
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -313,15 +313,15 @@
   std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
     const JobView& x = jobs[a];
     const JobView& y = jobs[b];
-    return std::tie(x.priority, x.turn, x.created_ms, x.id) <
-           std::tie(y.priority, y.turn, y.created_ms, y.id);
+    return std::tie(x.priority, x.fair_share_rank, x.created_ms, x.id) <
+           std::tie(y.priority, y.fair_share_rank, y.created_ms, y.id);
   });
   return order;
 }
 
-void set_turns(std::vector<JobView>& jobs, const std::map<std::string, TeamView>& teams,
-               const std::map<std::string, double>& guaranteed) {
-  for (JobView& j : jobs) j.turn = 0;
+void set_fair_share_ranks(std::vector<JobView>& jobs, const std::map<std::string, TeamView>& teams,
+                          const std::map<std::string, double>& guaranteed) {
+  for (JobView& j : jobs) j.fair_share_rank = 0;
   std::map<std::string, std::pair<double, double>> asked;  // GPUs, CPUs
   for (const auto& [name, t] : teams) asked[name] = {t.gpus, t.cpus};
   for (const std::size_t i : queue_order(jobs)) {
@@ -333,9 +333,10 @@
     const auto g = guaranteed.find(job.team);
     if (job.need.gpus > 0 && g != guaranteed.end() && g->second > 0) {
       const double share = gpus / g->second;
-      job.turn = share <= 1 ? 0 : share;  // within its guarantee a team waits on no other
+      job.fair_share_rank =
+          share <= 1 ? 0 : share;  // within its guarantee a team waits on no other
     } else {
-      job.turn = cpus;
+      job.fair_share_rank = cpus;
     }
   }
 }
--- a/src/sched/snapshot.h
+++ b/src/sched/snapshot.h
@@ -84,7 +84,7 @@
   wire::JobKind kind = wire::JobKind::array;
   wire::Priority priority = wire::Priority::normal;
   // 0 on the ordinary path. When more is asked than there is: how far the team is beyond its share.
-  double turn = 0;
+  double fair_share_rank = 0;
   std::int64_t created_ms = 0;
   Need need;
   const std::optional<std::vector<std::string>>* types = nullptr;  // null: any
@@ -117,8 +117,8 @@
 
 // Teams served in turn by shares: sets each job's `turn` from what its team uses and has asked for
 // before it. `guaranteed` is the team's GPUs; a team without any is counted by its CPUs.
-void set_turns(std::vector<JobView>& jobs, const std::map<std::string, TeamView>& teams,
-               const std::map<std::string, double>& guaranteed);
+void set_fair_share_ranks(std::vector<JobView>& jobs, const std::map<std::string, TeamView>& teams,
+                          const std::map<std::string, double>& guaranteed);
 
 enum class MachineChoice { first_fit, scored };
 
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -86,7 +86,7 @@
                   std::function<void(ListResult)> done) {
   std::string path = "/keys?under=" + prefix + "&most=500";
   if (!after.empty()) path += "&since=" + after;
-  submit(Urgency::verdict, Call{endpoint_, "GET", std::move(path), "", 2 * timeout_}, 0,
+  submit(Urgency::final_status, Call{endpoint_, "GET", std::move(path), "", 2 * timeout_}, 0,
          [done = std::move(done)](const Reply& r) {
            done(parsed<ListResult>(r, [](ListResult& l, const Json& o) {
              for (const Json& row : o.at("rows")) l.items.push_back(item_from(row));
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -84,7 +84,7 @@
 };
 
 // In order of danger when late.
-enum class Urgency { lease, verdict, assignment, progress };
+enum class Urgency { lease, final_status, assignment, progress };
 
 class Client {
  public:
@@ -93,7 +93,7 @@
          double write_rps, net::Ms timeout);
 
   void get(const std::string& key, std::function<void(GetResult)> done,
-           Urgency urgency = Urgency::verdict);
+           Urgency urgency = Urgency::final_status);
   void list(const std::string& prefix, const std::string& after,
             std::function<void(ListResult)> done);
   // A name for the request while it waits for its turn.
--- a/tests/model/plain_scheduler.h
+++ b/tests/model/plain_scheduler.h
@@ -48,7 +48,7 @@
  private:
   static bool before(const sched::JobView& a, const sched::JobView& b) {
     if (a.priority != b.priority) return a.priority < b.priority;
-    if (a.turn != b.turn) return a.turn < b.turn;
+    if (a.fair_share_rank != b.fair_share_rank) return a.fair_share_rank < b.fair_share_rank;
     if (a.created_ms != b.created_ms) return a.created_ms < b.created_ms;
     return a.id < b.id;
   }
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -147,7 +147,7 @@
     client.txn(std::move(txn), state::Urgency::progress, [](const state::TxnResult&) {});
   }
   EXPECT_GT(client.backlog(state::Urgency::progress), 3000);
-  EXPECT_EQ(client.backlog(state::Urgency::verdict), 0);
+  EXPECT_EQ(client.backlog(state::Urgency::final_status), 0);
 }
 
 }  // namespace
--- a/tests/record_store_test.cc
+++ b/tests/record_store_test.cc
@@ -32,7 +32,7 @@
   void put(const std::string& key, const wire::Json& v) {
     state::Txn t;
     t.changes.push_back({key, v, 0});
-    client.txn(std::move(t), state::Urgency::verdict,
+    client.txn(std::move(t), state::Urgency::final_status,
                [this](const state::TxnResult& r) { revision = r.revision; });
     time.run_for(100);
   }
@@ -101,7 +101,7 @@
   put("open/wk-1", {{"n", 1}});
   const state::Version open = revision;
   busy.changed("wk-1", chunk, state::Urgency::progress, [&] { recorded = true; });
-  busy.end("wk-1", open, wire::Stage::done, 1, state::Urgency::verdict,
+  busy.end("wk-1", open, wire::Stage::done, 1, state::Urgency::final_status,
            [&](wire::Stage) { ended = true; });
   time.run_for(1500);
   EXPECT_TRUE(ended);
@@ -123,7 +123,7 @@
 TEST_F(RecordStoreTest, FirstVerdictStands) {
   put("ends/wk-1", {{"stage", "withdrawn"}, {"done", 0}});
   wire::Stage stage = wire::Stage::queued;
-  records.end("wk-1", 3, wire::Stage::done, 2, state::Urgency::verdict,
+  records.end("wk-1", 3, wire::Stage::done, 2, state::Urgency::final_status,
               [&](wire::Stage s) { stage = s; });
   time.run_for(3000);
   EXPECT_EQ(stage, wire::Stage::cancelled);
--- a/tests/sched_test.cc
+++ b/tests/sched_test.cc
@@ -56,7 +56,7 @@
     j.team = pick(2) ? "red" : "blue";
     j.kind = pick(2) ? wire::JobKind::gang : wire::JobKind::array;
     j.priority = static_cast<wire::Priority>(pick(4));
-    j.turn = pick(4) == 0 ? 1 + pick(2) : 0;
+    j.fair_share_rank = pick(4) == 0 ? 1 + pick(2) : 0;
     j.created_ms = pick(4);
     j.need = {1.0 + pick(5), pick(2) * 1.0, 8.0 * pick(4)};
     j.types = pick(3) == 0 ? &kOnlyBig : &kAny;
@@ -322,10 +322,10 @@
   jobs.back().created_ms = 9;
   jobs.push_back(jobs.back());
   jobs.back().id = "wk-9";
-  set_turns(jobs, {}, {{"red", 4}, {"blue", 4}});
+  set_fair_share_ranks(jobs, {}, {{"red", 4}, {"blue", 4}});
   // Each team's first job is within its guarantee; then they alternate.
   EXPECT_EQ(queue_order(jobs), (std::vector<std::size_t>{0, 4, 1, 5, 2, 3}));
-  for (JobView& j : jobs) j.turn = 0;  // nothing is short: by creation time
+  for (JobView& j : jobs) j.fair_share_rank = 0;  // nothing is short: by creation time
   EXPECT_EQ(queue_order(jobs), (std::vector<std::size_t>{0, 1, 2, 3, 4, 5}));
 }
 
