--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -80,6 +80,19 @@
   EXPECT_EQ(s.team("green"), nullptr);
   EXPECT_EQ(s.objectives.at(0).within_s, 30.0);
   EXPECT_EQ(s.state_limits.txn_ops, 12);
+  EXPECT_EQ(s.next_state_limits.value_kb, 32.0);
+  std::remove(file.c_str());
+}
+
+// Those that `next` does not name stay as they are.
+TEST(Config, LimitsToCome) {
+  const std::string file = file_with(replaced(
+      "txn_ops = 12\n", "txn_ops = 12\n[facts.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\n"));
+  const Settings s = load_settings(file);
+  EXPECT_EQ(s.state_limits.value_kb, 32.0);
+  EXPECT_EQ(s.next_state_limits.value_kb, 2.0);
+  EXPECT_EQ(s.next_state_limits.txn_ops, 4);
+  EXPECT_EQ(s.next_state_limits.write_rps, 30.0);
   std::remove(file.c_str());
 }
 
@@ -94,6 +107,11 @@
       {replaced("back = \"127.0.0.1:8081\"", "back = \"127.0.0.1:99999\""), "back"},
       {replaced("zones = [\"a\", \"b\"]", "zones = [1]"), "facts.zones"},
       {replaced("node = \"n0\"", "node = "), "line 2"},
+      {replaced("txn_ops = 12", "txn_ops = 12\nnext = 3"), "facts.state.next"},
+      {replaced("txn_ops = 12", "txn_ops = 12\nnext = { value_kb = 0.5 }"),
+       "facts.state.next.value_kb"},
+      {replaced("txn_ops = 12", "txn_ops = 12\nnext = { write_rps = \"few\" }"),
+       "facts.state.next.write_rps"},
   };
   for (const auto& c : cases) {
     const std::string file = file_with(c.text);
