--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -357,6 +357,31 @@
   }
 }
 
+// A former leader wrote a segment and did not get to delete the chunk: what the segment says
+// counts, and no attempt of the chunk is waited for.
+TEST_F(Rollout, ASegmentCountsBeforeTheChunk) {
+  World w(1, 10, kFalling);
+  w.time.run_for(20);
+  w.cloud.machines.clear();  // heard by nobody
+  for (const auto& [key, value] : kProductionRecords) w.put(key, wire::Json::parse(value));
+  w.put("cluster", {{"version", 1}, {"segment_tasks", 42}, {"chunk_tasks", 128}});
+  TaskRecord segment;
+  segment.id = {Layout::segments, 3};
+  segment.range = {126, 140};
+  segment.last_attempt = 18;
+  segment.team = "blue";
+  segment.job_tasks = 140;
+  segment.finished.assign(14, true);
+  w.put("work/wk-1/s3", leader::encode(segment));
+  w.judge.jobs["wk-1"].spec = array_job("wk-1", 140, 9);
+  w.judge.jobs["wk-2"].spec = gang_job("wk-2", 3, 10);
+  for (std::uint32_t task = 0; task < 140; ++task) w.judge.done.insert({"wk-1", task});
+  EXPECT_TRUE(w.reaches("wk-1", "done", 15000));
+  w.time.run_for(3000);
+  EXPECT_EQ(w.state.count("work/wk-1/"), 0u);
+  w.expect_rules();
+}
+
 // The limits fall at several moments after the last turn, with large records of the old layout
 // about: nothing stands still, and the leader keeps its lease.
 TEST_F(Rollout, LimitsFallWithoutNotice) {
