--- a/src/jobs/api_handler.cc
+++ b/src/jobs/api_handler.cc
@@ -6,9 +6,12 @@
 #include <random>
 
 #include "jobs/responses.h"
+#include "leader/audit_log.h"
 
 namespace seampass::jobs {
 
+namespace audit = leader::audit;
+using audit::AnswerBasis;
 using net::Answer;
 using net::Ms;
 using net::Response;
@@ -86,18 +89,24 @@
   known.verdict = rpc::Verdict::known;
   if (const auto v = status_reader_.final_status(id)) {
     known.status = *v;
+    audit::answer(
+        *v, status_reader_.written(id) ? AnswerBasis::cache_written : AnswerBasis::cache_derived);
     return reply(known);
   }
   const auto found = [known, reply](JobStatusReader::Found result, const wire::JobStatus& s,
                                     const state::Item&) mutable {
     known.status = s;
+    if (result != JobStatusReader::Found::cannot) audit::answer(s, AnswerBasis::store);
     if (result == JobStatusReader::Found::none) known.verdict = rpc::Verdict::unknown;
     if (result == JobStatusReader::Found::cannot) known.verdict = rpc::Verdict::cannot;
     reply(known);
   };
   ask_leader({0, id, false, ""}, net::ms(settings_.report_s / 5),
              [this, id, purpose, found, reply](const rpc::Answer& a) {
-               if (a.verdict != rpc::Verdict::cannot) return reply(a);
+               if (a.verdict != rpc::Verdict::cannot) {
+                 audit::answer(a.status, AnswerBasis::leader);
+                 return reply(a);
+               }
                if (purpose == Purpose::poll) return status_reader_.query(id, found);
                status_reader_.read(id, found);
              });
@@ -120,6 +129,7 @@
     if (a.verdict == rpc::Verdict::unknown) return answer(refusal(404, "no such job"));
     if (a.status.stage != wire::Stage::cancelled && a.status.stage != wire::Stage::done)
       return answer(later("not decided yet"));
+    audit::answer(a.status, AnswerBasis::leader);
     answer({200, wire::accepted_json(a.status), 0});
   });
 }
--- a/src/leader/absence.cc
+++ b/src/leader/absence.cc
@@ -17,7 +17,8 @@
     if (!inspected) return;
     inspected->inspecting = false;
     if (!report || report->machine != name) return unanswered(*inspected);
-    if (report->token > election_.warrant()) return election_.lost();
+    if (report->token > election_.warrant())
+      return election_.lost(audit::Deposed::worker_shows_higher_epoch);
     take_inspection(*inspected, *report, asked);
   });
 }
@@ -40,7 +41,7 @@
     attempt->seen = true;
     if (found->second->state == TaskState::exited) exited.push_back(id);
   }
-  release_lost(gone);
+  release_lost(gone, audit::AbsenceProof::inspected);
   for (const AttemptId& id : exited) {
     TaskAttempt* attempt = find_on(machine, id);
     if (attempt) task_exited(*attempt, *present.at(id));
--- a/src/leader/attempt_tracker.cc
+++ b/src/leader/attempt_tracker.cc
@@ -56,8 +56,9 @@
   if (job.running == job.spec.tasks) spdlog::debug("all of {} run", job.spec.id);
 }
 
-void AttemptTracker::stop(TaskAttempt& attempt, double grace_s) {
+void AttemptTracker::stop(TaskAttempt& attempt, double grace_s, audit::StopReason why) {
   if (attempt.stop) return;
+  audit::stop(attempt.id(), attempt.machine->name, why);
   attempt.stop = true;
   attempt.machine->stale = true;
   attempt.grace_s = grace_s;
--- a/src/leader/attempt_tracker.h
+++ b/src/leader/attempt_tracker.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "leader/audit_log.h"
 #include "leader/fleet.h"
 #include "leader/ids.h"
 #include "leader/job_record.h"
@@ -35,7 +36,7 @@
 
   void set_state(TaskAttempt& attempt, wire::TaskState state);
   // Marks it as to be stopped; the first call counts.
-  void stop(TaskAttempt& attempt, double grace_s);
+  void stop(TaskAttempt& attempt, double grace_s, audit::StopReason why);
 
   sched::Need usage(const std::string& team) const;
 
--- a/src/leader/attempts.cc
+++ b/src/leader/attempts.cc
@@ -41,12 +41,11 @@
 }
 
 // Releasing the last attempt of a job can end and erase it, so that what follows goes by name.
-void Controller::release_lost(const std::vector<TaskAttempt*>& lost) {
+void Controller::release_lost(const std::vector<TaskAttempt*>& lost, audit::AbsenceProof proof) {
   std::set<std::string> jobs;
   for (TaskAttempt* attempt : lost) {
     jobs.insert(attempt->job->spec.id);
-    spdlog::debug("{}/{} try {} is not on {} any more", attempt->job->spec.id, attempt->task,
-                  attempt->number, attempt->machine->name);
+    audit::absent(attempt->id(), attempt->machine->name, proof);
     release(*attempt);
   }
   for (const std::string& id : jobs) {
@@ -58,38 +57,41 @@
 // A gang's attempt is over for all its tasks once it is for one.
 void Controller::lost_attempt(JobRecord& job) {
   if (!job.gang() || job.ended || job.attempts.empty()) return;
-  stop_all(job, 0);
+  stop_all(job, 0, audit::StopReason::gang_incomplete);
 }
 
 // Long enough to save, and for the order to arrive.
-void Controller::stop_to_save(TaskAttempt& attempt) {
-  attempts_.stop(attempt, attempt.job->spec.save_s + settings_.report_s / 3);
+void Controller::stop_to_save(TaskAttempt& attempt, audit::StopReason why) {
+  attempts_.stop(attempt, attempt.job->spec.save_s + settings_.report_s / 3, why);
 }
 
 // `again`: also what was told to stop before, with this grace now.
-void Controller::stop_all(JobRecord& job, double grace_s, bool again) {
+void Controller::stop_all(JobRecord& job, double grace_s, audit::StopReason why, bool again) {
   std::vector<TaskAttempt*> sent;
   std::vector<TaskAttempt*> unsent;
   for (auto& [task, attempt] : job.attempts) {
     if (attempt.stop && !again) continue;
-    attempts_.stop(attempt, grace_s);
+    attempts_.stop(attempt, grace_s, why);
     attempt.grace_s = grace_s;
     (attempt.sent ? sent : unsent).push_back(&attempt);
   }
   send_stops(sent);
   // Never told to any worker: off already.
-  for (TaskAttempt* attempt : unsent) release(*attempt);
+  for (TaskAttempt* attempt : unsent) {
+    audit::absent(attempt->id(), attempt->machine->name, audit::AbsenceProof::never_sent);
+    release(*attempt);
+  }
 }
 
-void Controller::machine_gone(Machine& machine) {
+void Controller::machine_gone(Machine& machine, audit::AbsenceProof proof) {
   std::vector<TaskAttempt*> lost;
   for (const auto& [task, attempt] : machine.attempts) lost.push_back(attempt);
-  release_lost(lost);
+  release_lost(lost, proof);
 }
 
 // Its place in the snapshot is free for another.
 void Controller::forget_machine(Machine& machine) {
-  machine_gone(machine);
+  machine_gone(machine, audit::AbsenceProof::machine_deleted);
   if (machine.slot == Machine::kNoSlot) return;
   snapshot_.machines[machine.slot] = {};
   free_slots_.push_back(machine.slot);
@@ -116,6 +118,7 @@
   spdlog::debug("{}/{} try {} on {} ended, cause {} told {}", report.job, report.index,
                 attempt.number, attempt.machine->name, static_cast<int>(report.cause),
                 attempt.stop);
+  audit::absent(attempt.id(), attempt.machine->name, audit::AbsenceProof::reported_ended);
   if (report.cause == ExitCause::done) return task_done(attempt);
   JobRecord& job = *attempt.job;
   Machine& machine = *attempt.machine;
--- a/src/leader/commands.cc
+++ b/src/leader/commands.cc
@@ -57,7 +57,8 @@
     machine->unresponsive_since.reset();
   }
   if (!report || report->machine != name) return;
-  if (report->token > election_.warrant()) return election_.lost();
+  if (report->token > election_.warrant())
+    return election_.lost(audit::Deposed::worker_shows_higher_epoch);
   take_report(*machine, *report, false);
 }
 
@@ -99,10 +100,11 @@
     attempt->sent = true;
     attempt->start_sent_at = runtime_.now();
     ++attempt->in_flight;
+    audit::start(name, machine.name, machine.session, election_.warrant(), false);
     add_start(machine, name, by_machine[&machine]);
   }
   for (const auto& [machine, commands] : by_machine) send(*machine, commands);
-  release_lost(off);
+  release_lost(off, audit::AbsenceProof::never_sent);
 }
 
 // An earlier attempt that ended there would make this one `busy`. The record that is durable now no
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -28,13 +28,15 @@
       records_(
           runtime, state, settings.state_limits.least(settings.next_state_limits),
           {[this](const std::string& id, const RecordId& record) { return render(id, record); },
-           [this] { election_.lost(); },
+           [this] { election_.lost(audit::Deposed::fenced); },
            [this](const std::string& id, wire::Stage stage) { on_ended(id, stage); },
            [this] { cluster_.finalize(); }}),
       fleet_(runtime, cloud, types, settings, op, [this](Machine& m) { forget_machine(m); }),
       layout_(cluster.spans()),
       dependencies_(runtime, status_reader, net::ms(settings.report_s / 10),
-                    {[this](const std::string& id) { job_ready(id); },
+                    {[this](const std::string& id, const std::string& dependency) {
+                       job_ready(id, dependency);
+                     },
                      [this](const std::string& id) { cancel_dependent(id); },
                      [this](const std::string& id, const state::Item& open) {
                        accepted(id, open.value, open.version);
@@ -51,20 +53,20 @@
 void Controller::begin() {
   stop();
   active_ = true;
-  began_ = waited_ = ticked_ = runtime_.now();
+  began_ = waited_ = ticked_ = load_logged_ = runtime_.now();
   isolated_ticks_ = 0;
-  spdlog::info("leading, warrant {}", election_.warrant());
+  audit::elected(election_.warrant());
   records_.begin(election_.warrant());
   fleet_.begin(election_.warrant());
   layout_.use(Layout::chunks, cluster_.spans());
   // Records are read once it is known in which layouts they may be.
-  cluster_.begin(election_.warrant(), {[this] { load("open/", "", true); },
-                                       [this] { use_segments(); }, [this] { election_.lost(); }});
+  cluster_.begin(election_.warrant(),
+                 {[this] { load("open/", "", true); }, [this] { use_segments(); },
+                  [this] { election_.lost(audit::Deposed::fenced); }});
   tick();
 }
 
 void Controller::stop() {
-  if (active_) spdlog::info("no longer leading");
   ++term_;
   active_ = loaded_ = pass_requested_ = false;
   listed_ = 0;
@@ -203,7 +205,7 @@
   job.ending = true;
   job.held.clear();
   const std::string id = job.spec.id;
-  stop_all(job, 0, true);
+  stop_all(job, 0, audit::StopReason::job_over, true);
   erase_if_settled(id);
 }
 
@@ -225,11 +227,10 @@
   JobRecord& job = *found;
   job.ending = job.concluding = job.ended = true;
   job.stage = stage;
-  spdlog::debug("ended {}, {}", id, wire::stage_name(stage));
   const rpc::Answer answer = status_of(job);
   status_reader_.remember(answer.status, jobs::JobStatusReader::Source::written);
   for (const auto& w : std::exchange(job.waiters, {})) w(answer);
-  stop_all(job, 0);
+  stop_all(job, 0, audit::StopReason::job_over);
   erase_if_settled(id);
   // Only now that it is durable: the next leader must not find a dependent at work on a job that it
   // does not know to be done, or queued behind one that is cancelled.
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -19,6 +19,7 @@
 #include "config/settings.h"
 #include "jobs/job_status_reader.h"
 #include "leader/attempt_tracker.h"
+#include "leader/audit_log.h"
 #include "leader/cluster_version.h"
 #include "leader/dependency_tracker.h"
 #include "leader/election.h"
@@ -72,7 +73,7 @@
   void watch();
 
   // Dependencies: dependencies.cc.
-  void job_ready(const std::string& id);
+  void job_ready(const std::string& id, const std::string& dependency);
   void cancel_dependent(const std::string& id);
   // Whether its state can be told from memory: nothing upstream is unknown or in doubt.
   bool upstream_certain(const std::string& id) const;
@@ -102,11 +103,11 @@
   TaskAttempt* find_attempt(const std::string& job, std::uint32_t task);
   TaskAttempt* find_attempt(const AttemptId& id);
   void release(TaskAttempt& attempt);
-  void release_lost(const std::vector<TaskAttempt*>& lost);
+  void release_lost(const std::vector<TaskAttempt*>& lost, audit::AbsenceProof proof);
   void lost_attempt(JobRecord& job);
-  void stop_to_save(TaskAttempt& attempt);
-  void stop_all(JobRecord& job, double grace_s, bool again = false);
-  void machine_gone(Machine& machine);
+  void stop_to_save(TaskAttempt& attempt, audit::StopReason why);
+  void stop_all(JobRecord& job, double grace_s, audit::StopReason why, bool again = false);
+  void machine_gone(Machine& machine, audit::AbsenceProof proof);
   void forget_machine(Machine& machine);
   void record_failure(JobRecord& job, Machine& machine);
   void task_exited(TaskAttempt& attempt, const wire::TaskReport& report);
@@ -169,6 +170,7 @@
   std::set<std::string> expire_holds();
   void drain_noticed();
   void log_use() const;
+  void log_load();
 
   net::Runtime& runtime_;
   state::Client& state_;
@@ -188,6 +190,7 @@
   std::uint64_t term_ = 0;
   net::Ms ticked_ = 0;
   int isolated_ticks_ = 0;
+  net::Ms lateness_ = 0, load_logged_ = 0;  // of the last tick; when the load was last logged
   net::Ms began_ = 0, last_rental_ = 0, next_pass_ = 0;
   net::Ms waited_ = 0;         // when a job last found no place
   state::Version listed_ = 0;  // open jobs were listed as of this revision; 0: not yet
--- a/src/leader/dependencies.cc
+++ b/src/leader/dependencies.cc
@@ -7,11 +7,11 @@
 
 namespace seampass::leader {
 
-void Controller::job_ready(const std::string& id) {
+void Controller::job_ready(const std::string& id, const std::string& dependency) {
   JobRecord* job = find_job(id);
   if (!job) return;
   job->ready_ms = runtime_.wall();
-  spdlog::debug("ready {}", id);
+  audit::ready(id, dependency);
   note_arrival(*job);
   request_pass();
 }
--- a/src/leader/dependency_tracker.cc
+++ b/src/leader/dependency_tracker.cc
@@ -21,7 +21,7 @@
 }
 
 void DependencyTracker::add(const wire::Job& job) {
-  apply(graph_.add(job.id, job.priority, job.dependencies));
+  apply(job.id, graph_.add(job.id, job.priority, job.dependencies));
   if (listed_) read_unknown();
 }
 
@@ -31,13 +31,14 @@
 }
 
 void DependencyTracker::ended(const std::string& job, wire::Stage stage) {
-  apply(stage == wire::Stage::done ? graph_.finish(job) : graph_.cancel(job));
+  apply(job, stage == wire::Stage::done ? graph_.finish(job) : graph_.cancel(job));
 }
 
-void DependencyTracker::apply(const sched::DependencyGraph::Effects& effects) const {
+void DependencyTracker::apply(const std::string& cause,
+                              const sched::DependencyGraph::Effects& effects) const {
   const std::uint64_t term = term_;
   for (const std::string& job : effects.ready)
-    if (term == term_) hooks_.ready(job);
+    if (term == term_) hooks_.ready(job, cause);
   for (const std::string& job : effects.cancelled)
     if (term == term_) hooks_.cancelled(job);
 }
--- a/src/leader/dependency_tracker.h
+++ b/src/leader/dependency_tracker.h
@@ -17,7 +17,7 @@
 class DependencyTracker {
  public:
   struct Hooks {
-    std::function<void(const std::string& job)> ready;
+    std::function<void(const std::string& job, const std::string& last_dependency)> ready;
     // A job that it depends on is cancelled, and that is durable.
     std::function<void(const std::string& job)> cancelled;
     // An open job of which no news had come.
@@ -38,7 +38,7 @@
   const sched::DependencyGraph& graph() const { return graph_; }
 
  private:
-  void apply(const sched::DependencyGraph::Effects& effects) const;
+  void apply(const std::string& cause, const sched::DependencyGraph::Effects& effects) const;
   void read_unknown();
   void read(const std::string& job);
 
--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -1,8 +1,7 @@
 #include "leader/election.h"
 
-#include <spdlog/spdlog.h>
-
 #include <algorithm>
+#include <utility>
 
 namespace seampass::leader {
 
@@ -133,6 +132,7 @@
   });
   heard_ = warrant;
   confirmed_at_ = 0;
+  renewal_failed_ = extended_ = false;
   elected_();
   announce_(0);
 }
@@ -142,11 +142,13 @@
   const net::Ms sent = runtime_.now();
   state_.renew(lease_, [this, term, sent](Outcome o) {
     if (term != term_) return;
-    if (o == Outcome::missing) return lost();
+    if (o == Outcome::missing) return lost(audit::Deposed::lease_ended);
     if (o == Outcome::ok) {
       granted_ = std::max(granted_, sent);
+      renewal_failed_ = extended_ = false;
       announce_(0);
     } else {
+      if (!std::exchange(renewal_failed_, true)) audit::renewal_failed(warrant_, since_grant());
       // Perhaps the store is down for all. Nobody can have answered a cancellation that we don't
       // know of unless somebody took over: if none did, the grace counts from now.
       asked_ = runtime_.now();
@@ -163,7 +165,7 @@
 void Election::on_confirmation(const std::string& node, std::uint64_t round, std::uint64_t warrant,
                                net::Ms up_ms) {
   if (!leading_) return;
-  if (warrant > warrant_) return lost();
+  if (warrant > warrant_) return lost(audit::Deposed::peer_shows_higher_epoch);
   // Whoever was asked in this term knows of it: this is a late copy of a word given in an earlier
   // one, by a round that may have had the same number.
   if (warrant < warrant_) return;
@@ -172,7 +174,9 @@
   // (Its time is taken against the word's arrival, since the asking may have been held up.)
   if (round != round_ || up_ms - up_ms / 1000 < runtime_.now() - granted_) return;
   confirmations_.insert(node);
-  if (confirmations_.size() == peers_) confirmed_at_ = std::max(confirmed_at_, asked_);
+  if (confirmations_.size() != peers_) return;
+  confirmed_at_ = std::max(confirmed_at_, asked_);
+  if (!std::exchange(extended_, true)) audit::extended_by_peers(warrant_, since_grant());
 }
 
 // A leader that the state service has stopped answering would go on telling workers to stay until
@@ -180,22 +184,22 @@
 void Election::hear(const std::string& node, std::uint64_t warrant) {
   if (warrant <= heard_) return;
   heard_ = warrant;
-  if (leading_) lost();
+  if (leading_) lost(audit::Deposed::peer_shows_higher_epoch);
   leader_ = node;
 }
 
 bool Election::resign() {
   const net::Ms now = runtime_.now();
   if (!leading_ || (resigned_ && now - *resigned_ < times_.between_resignations)) return false;
-  spdlog::info("making way: no worker is heard");
   resigned_ = now;
   state_.end(lease_, [](Outcome) {});
-  lost();
+  lost(audit::Deposed::resigned);
   return true;
 }
 
-void Election::lost() {
+void Election::lost(audit::Deposed why) {
   if (!leading_) return;
+  audit::deposed(warrant_, why, since_grant());
   leading_ = false;
   leader_.clear();
   deposed_();
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 
+#include "leader/audit_log.h"
 #include "net/runtime.h"
 #include "state/client.h"
 
@@ -35,6 +36,8 @@
   // Check-ins may be answered with 200 (without starts unless the lease holds).
   bool may_answer() const;
   std::uint64_t warrant() const { return warrant_; }
+  // Since the last good renewal was sent.
+  net::Ms since_grant() const { return runtime_.now() - granted_; }
   // The leading node as far as known; empty if none is.
   const std::string& leader() const { return leader_; }
   // Makes way for another: this leader is of no use to the workers. False, and nothing done, within
@@ -42,8 +45,8 @@
   bool resign();
   // A worker's report has come to this node, whether it leads or not.
   void on_worker_heard() { worker_heard_at_ = runtime_.now(); }
-  // Somebody learned that another has taken over.
-  void lost();
+  // Somebody learned that another has taken over, or may have.
+  void lost(audit::Deposed why);
   // What another node knows, in answer to an announcement with a round.
   void on_confirmation(const std::string& node, std::uint64_t round, std::uint64_t warrant,
                        net::Ms up_ms);
@@ -81,6 +84,8 @@
   std::set<std::string> confirmations_;
   state::Version seen_ = 0;
   net::Ms granted_ = 0;
+  // Said once in each spell without a renewal.
+  bool renewal_failed_ = false, extended_ = false;
   std::optional<net::Ms> resigned_, worker_heard_at_;
   bool yielded_once_ = false;
   std::uint64_t term_ = 0;  // answers meant for an earlier term are dropped
--- a/src/leader/heartbeats.cc
+++ b/src/leader/heartbeats.cc
@@ -21,7 +21,7 @@
 HeartbeatAnswer Controller::heartbeat(const wire::WorkerReport& report) {
   if (!active_ || !election_.may_answer()) return {503, "{}"};
   if (report.token > election_.warrant()) {  // another leads already
-    election_.lost();
+    election_.lost(audit::Deposed::worker_shows_higher_epoch);
     return {503, "{}"};
   }
   if (fleet_.deleted(report.machine)) return {503, "{}"};  // only late reports come from it
@@ -116,7 +116,8 @@
   attempt.durable = attempt.sent = true;
   job->last_attempt = std::max(job->last_attempt, id.attempt);
   record_changed(id.job, id.task, Urgency::assignment);
-  if (job->ending || job->finished[id.task] || job->gang()) attempts_.stop(attempt, 0);
+  if (job->ending || job->finished[id.task] || job->gang())
+    attempts_.stop(attempt, 0, audit::StopReason::not_wanted);
   return &attempt;
 }
 
@@ -184,6 +185,7 @@
     if (attempt->in_flight > 0 || attempt->session != machine.session) continue;
     if (attempt->job->ending && !attempt->stop) continue;
     attempt->start_sent_at = runtime_.now();
+    audit::start(attempt->id(), machine.name, machine.session, election_.warrant(), true);
     orders.push_back(command_for(Verb::start, attempt->id()));
     if (attempt->stop) {
       // It was never seen, and its start may come at any time. Started and stopped in one go, the
--- a/src/leader/planning.cc
+++ b/src/leader/planning.cc
@@ -197,7 +197,7 @@
     for (const sched::Victim& v : e.tasks) {
       TaskAttempt* c = find_attempt(v.job, v.task);
       if (!c) continue;
-      stop_to_save(*c);
+      stop_to_save(*c, audit::StopReason::room_needed);
       stops.push_back(c);
       grace = std::max(grace, c->grace_s);
     }
@@ -257,7 +257,7 @@
     m->draining = true;
     spdlog::debug("emptying {} of {} tasks", m->name, m->attempts.size());
     for (const auto& [key, c] : m->attempts) {
-      stop_to_save(*c);
+      stop_to_save(*c, audit::StopReason::machine_leaving);
       stops.push_back(c);
     }
   }
--- a/src/leader/record_store.cc
+++ b/src/leader/record_store.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "leader/audit_log.h"
 #include "leader/election.h"
 #include "leader/task_record.h"
 
@@ -265,6 +266,7 @@
     Record& r = e.records[batch.ids[i]];
     r.sending = false;
     r.version = batch.present[i] ? version : 0;
+    if (batch.present[i]) audit::record_durable(job, batch.ids[i], version);
     // A waiter that came while this was on its way belongs to the next write.
     if (r.dirty) continue;
     r.replaced = false;
@@ -276,6 +278,7 @@
   if (batch.verdict && e.ending) {
     ended = std::move(e.ending->durable);
     stage = e.ending->stage;
+    audit::final_status(job, stage, version);
     e.ending.reset();
     e.ended = true;
     in_doubt_.erase(job);
@@ -334,6 +337,7 @@
   } catch (const wire::Malformed& error) {
     spdlog::error("unreadable record {}: {}", item.key, error.what());
   }
+  audit::final_status(job, stage, item.version);
   if (ended)
     ended(stage);
   else
--- a/src/leader/recovery.cc
+++ b/src/leader/recovery.cc
@@ -61,7 +61,13 @@
       lost_attempt(*job);
     maybe_done(*job);
   }
-  spdlog::info("recovered {} jobs", jobs_.size());
+  const auto ended = std::count_if(jobs_.begin(), jobs_.end(),
+                                   [](const auto& entry) { return entry.second->ended; });
+  std::size_t attempts = 0;
+  for (const auto& [id, job] : jobs_) attempts += job->attempts.size();
+  audit::recovery_ended(election_.warrant(), listed_,
+                        jobs_.size() - static_cast<std::size_t>(ended),
+                        static_cast<std::size_t>(ended), attempts, runtime_.now() - began_);
   dependencies_.listed();
   watch();
   request_pass();
--- a/src/leader/upkeep.cc
+++ b/src/leader/upkeep.cc
@@ -45,10 +45,13 @@
 
 void Controller::tick() {
   const std::uint64_t term = term_;
-  runtime_.after(net::ms(settings_.report_s / 3), [this, term] {
+  const Ms due = runtime_.now() + net::ms(settings_.report_s / 3);
+  runtime_.after(due - runtime_.now(), [this, term, due] {
     if (term != term_) return;
+    lateness_ = runtime_.now() - due;
     tick();
   });
+  if (runtime_.now() >= load_logged_ + net::ms(settings_.lease_s)) log_load();
   if (!ready()) return;
   if (is_isolated() && election_.resign()) return;
   release_expired();
@@ -74,7 +77,7 @@
     const bool confirmed = m.heard >= 0 && m.token >= election_.warrant();
     if (attempts_.lease_expired(m, began_, confirmed, times)) expired.push_back(&m);
   }
-  for (Machine* m : expired) machine_gone(*m);
+  for (Machine* m : expired) machine_gone(*m, audit::AbsenceProof::lease_expired);
 }
 
 // A gang that has held room for too long gives it back. The machines that are held still.
@@ -93,6 +96,19 @@
   return held;
 }
 
+// Once in a worker's lease.
+void Controller::log_load() {
+  load_logged_ = runtime_.now();
+  audit::Load load;
+  load.store = state_.counters();
+  load.waiting_reads = state_.waiting(false);
+  load.waiting_writes = state_.waiting(true);
+  load.backlog = state_.backlog(state::Urgency::progress);
+  load.lateness = lateness_;
+  load.since_grant = election_.since_grant();
+  audit::load(load);
+}
+
 // By machine type: what is paid for, and what it is used for.
 void Controller::log_use() const {
   struct Use {
@@ -131,14 +147,14 @@
       if (c->job->gang()) {
         gangs.emplace(spec.id, c->job);
       } else {
-        stop_to_save(*c);
+        stop_to_save(*c, audit::StopReason::machine_leaving);
         singles.push_back(c);
       }
     }
   }
   send_stops(singles);
   for (const auto& [id, job] : gangs) {
-    stop_all(*job, job->spec.save_s + settings_.gang_peer_s);
+    stop_all(*job, job->spec.save_s + settings_.gang_peer_s, audit::StopReason::machine_leaving);
   }
 }
 
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -238,11 +238,23 @@
   }
 }
 
+std::size_t Client::waiting(bool writes) const {
+  std::size_t count = 0;
+  for (const auto& queue : queues_)
+    count += static_cast<std::size_t>(
+        std::count_if(queue.begin(), queue.end(),
+                      [writes](const Pending& p) { return (p.writes > 0) == writes; }));
+  return count;
+}
+
 void Client::send(Pending p) {
+  ++(p.writes > 0 ? counters_.writes : counters_.reads);
   http_.call(std::move(p.call), [this, done = std::move(p.done)](const Reply& r) {
     const bool answered = r.fate == Reply::Fate::answered;
     const bool refused = is_refusal(r);
     failures_ = answered && !refused ? 0 : failures_ + 1;
+    if (refused) ++counters_.refused;
+    if (r.fate == net::Reply::Fate::unknown) ++counters_.unknown;
     if (answered) {
       refill();
       queries_.set_rate(query_rate_.on_answer(refused, runtime_.now()));
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -86,6 +86,11 @@
 // In order of danger when late.
 enum class Urgency { lease, final_status, assignment, progress };
 
+// What was asked of the service since this process began, and what became of it.
+struct Counters {
+  std::uint64_t reads = 0, writes = 0, refused = 0, unknown = 0;
+};
+
 class Client {
  public:
   // share: of the service's limits, which all controllers draw on.
@@ -114,6 +119,9 @@
 
   // How long a request of this urgency would wait for its turn now.
   net::Ms backlog(Urgency urgency) const;
+  const Counters& counters() const { return counters_; }
+  // Requests that wait for their turn, those that write among them.
+  std::size_t waiting(bool writes) const;
   // The last few requests all failed, or were refused.
   bool seems_down() const { return failures_ >= 3; }
 
@@ -141,6 +149,7 @@
   net::TimerId timer_ = 0;
   Ticket last_ticket_ = 0;
   int failures_ = 0;
+  Counters counters_;
 };
 
 }  // namespace seampass::state
