--- a/tests/dependencies_test.cc
+++ b/tests/dependencies_test.cc
@@ -318,5 +318,84 @@
   w.expect_rules();
 }
 
+// What a read of wk-1's final status is answered with, though the record is there: values that say
+// no final status.
+std::vector<std::string> unreadable_ends() {
+  std::vector<std::string> bodies;
+  for (const char* value : {R"({"stage":"finished","done":0})", R"({"stage":"queued","done":0})",
+                            R"({"stage":"running","done":0})", R"({"done":2})", R"("withdrawn")"})
+    bodies.push_back(std::string(R"({"path":"ends/wk-1","stamp":9,"v":)") + value + "}");
+  return bodies;
+}
+
+// The cancellation of the first is durable, its answer is lost, and what the leader then reads says
+// no final status: that is neither `done`, by which the second would start, nor an end.
+TEST(Dependencies, AnUnreadableEndPermitsNothing) {
+  for (const std::string& body : unreadable_ends()) {
+    World w;
+    ASSERT_TRUE(w.settle());
+    w.submit("n0", array_job("wk-1", 1, 300));
+    w.submit("n0", after(array_job("wk-2", 1, 300), {"wk-1"}));
+    ASSERT_TRUE(w.reaches("wk-1", "running", 60000));
+    const std::string leader = w.leader();
+    w.net.set_rule([&](const std::string& from, const net::Call& c) {
+      Fate f;
+      if (from != leader) return f;
+      f.lose_answer = c.body.find("\"write\":\"ends/wk-1\"") != std::string::npos;
+      if (c.path == "/keys/ends/wk-1" && w.state.has("ends/wk-1")) f.body = body;
+      return f;
+    });
+    w.cancel_soon(leader, "wk-1");
+    while (!w.state.has("ends/wk-1") && w.time.now() < 120000) w.time.run_for(10);
+    // The user is told by a node that can read it.
+    EXPECT_EQ(w.poll(w.follower(), "wk-1").stage(), "withdrawn");
+    for (int i = 0; i < 60; ++i) {
+      w.time.run_for(1000);
+      for (const char* id : {"wk-1", "wk-2"}) {
+        const auto told = w.poll(leader, id);
+        EXPECT_TRUE(told.status == 503 || told.stage() == "withdrawn") << id << " " << told.body;
+      }
+    }
+    EXPECT_EQ(w.judge.starts.count({"wk-2", 0}), 0u) << body;
+    w.net.set_rule({});
+    EXPECT_TRUE(w.reaches("wk-1", "withdrawn", 30000));
+    EXPECT_TRUE(w.reaches("wk-2", "withdrawn", 30000));
+    w.expect_rules();
+  }
+}
+
+// A node that reads no final status where one is says nothing, and the next leader waits with what
+// depends on it.
+TEST(Dependencies, AnUnreadableEndIsNoAnswer) {
+  for (const std::string& body : unreadable_ends()) {
+    World w;
+    ASSERT_TRUE(w.settle());
+    w.submit("n0", array_job("wk-1", 1, 3));
+    ASSERT_TRUE(w.reaches("wk-1", "done", 60000));
+    const std::string old = w.leader();
+    w.kill(old);
+    while (w.leader().empty()) w.time.run_for(10);
+    const std::string leader = w.leader();
+    for (const char* node : {"n0", "n1", "n2"})  // nothing is left in any cache
+      if (node != leader && node != old) {
+        w.kill(node);
+        w.start(node);
+      }
+    w.start(old);
+    w.time.run_for(5000);
+    w.net.set_rule([&](const std::string&, const net::Call& c) {
+      Fate f;
+      if (c.path == "/keys/ends/wk-1") f.body = body;
+      return f;
+    });
+    for (const char* node : {"n0", "n1", "n2"}) EXPECT_EQ(w.poll(node, "wk-1").status, 503) << body;
+    EXPECT_EQ(w.submit(old, after(array_job("wk-2", 1, 3), {"wk-1"})).status, 503) << body;
+    w.net.set_rule({});
+    EXPECT_EQ(w.submit(old, after(array_job("wk-2", 1, 3), {"wk-1"})).status, 201);
+    EXPECT_TRUE(w.reaches("wk-2", "done", 60000));
+    w.expect_rules();
+  }
+}
+
 }  // namespace
 }  // namespace seampass::standins
