An unreadable or non-final status is unknown: no start, no answer, no end

Cause (class: a failure taken for a permission): RecordStore counted what it could not read under ends/ as done, and both readers took queued and running for final. Now one place (jobs/final_status) writes and reads that record; what it can't read leaves the outcome in doubt (polls 503, dependents wait), is logged with its key and read again.

--- /dev/null
+++ b/src/jobs/final_status.h
@@ -0,0 +1,21 @@
+// The record of how a job ended, ends/<job>: the one place that writes and reads its form.
+#pragma once
+
+#include <cstdint>
+
+#include "wire/codec.h"
+#include "wire/types.h"
+
+namespace seampass::jobs {
+
+struct FinalStatus {
+  wire::Stage stage = wire::Stage::done;  // done or cancelled
+  std::uint64_t done = 0;                 // tasks that were done
+};
+
+wire::Json encode(const FinalStatus& status);
+// Throws wire::Malformed for anything that does not say `done` or `withdrawn`. Such a record is
+// neither: whoever reads it must take the outcome for unknown.
+FinalStatus decode_final_status(const wire::Json& value);
+
+}  // namespace seampass::jobs
--- a/src/jobs/job_status_reader.cc
+++ b/src/jobs/job_status_reader.cc
@@ -1,9 +1,13 @@
 #include "jobs/job_status_reader.h"
 
+#include <spdlog/spdlog.h>
+
 #include <memory>
 #include <unordered_set>
 #include <utility>
 
+#include "jobs/final_status.h"
+
 namespace seampass::jobs {
 
 using state::Outcome;
@@ -116,10 +120,12 @@
     if (ends.outcome == Outcome::missing) return done(Found::none, status, {});
     if (ends.outcome != Outcome::ok) return done(Found::cannot, status, {});
     try {
-      status.stage = wire::stage_from(wire::text_field(ends.item.value, "stage"));
-      status.done = wire::count_field(ends.item.value, "done");
-    } catch (const wire::Malformed&) {
-      // An unreadable record is no answer.
+      const FinalStatus final_status = decode_final_status(ends.item.value);
+      status.stage = final_status.stage;
+      status.done = final_status.done;
+    } catch (const wire::Malformed& error) {
+      // An unreadable record is no answer, and what depends on the job waits.
+      spdlog::error("unreadable record {}: {}", ends.item.key, error.what());
       return done(Found::cannot, status, {});
     }
     remember(status, Source::written);
--- a/src/leader/record_store.cc
+++ b/src/leader/record_store.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "jobs/final_status.h"
 #include "leader/audit_log.h"
 #include "leader/election.h"
 #include "leader/task_record.h"
@@ -178,8 +179,7 @@
   batch.urgency = e.ending->urgency;
   batch.txn.conditions.push_back({ends_key(job), 0});
   batch.txn.conditions.push_back({open_key(job), e.ending->open_version});
-  const wire::Json status{{"stage", wire::stage_name(e.ending->stage)}, {"done", e.ending->done}};
-  batch.txn.changes.push_back({ends_key(job), status, 0});
+  batch.txn.changes.push_back({ends_key(job), jobs::encode({e.ending->stage, e.ending->done}), 0});
   batch.txn.changes.push_back({open_key(job), std::nullopt, 0});
 }
 
@@ -302,7 +302,7 @@
     state_.get(ends_key(job), [this, job, ids, current, again](const state::GetResult& g) {
       if (!current()) return;
       if (g.outcome != Outcome::ok && g.outcome != Outcome::missing) return again(ids, true);
-      if (g.outcome == Outcome::ok) take_final_status(job, g.item);
+      if (g.outcome == Outcome::ok && !take_final_status(job, g.item)) return again(ids, true);
       if (current()) read_back(job, ids, false);
     });
     return;
@@ -322,26 +322,31 @@
   });
 }
 
-// The first verdict stands, ours or another's.
-void RecordStore::take_final_status(const std::string& job, const state::Item& item) {
+// The first final status stands, ours or another's. One that can't be read is neither `done`, by
+// which dependents would start, nor `withdrawn`: the outcome stays unknown and the record is read
+// again.
+bool RecordStore::take_final_status(const std::string& job, const state::Item& item) {
   Entry& e = jobs_.at(job);
-  if (e.ended) return;
+  if (e.ended) return true;
+  wire::Stage stage = wire::Stage::done;
+  try {
+    stage = jobs::decode_final_status(item.value).stage;
+  } catch (const wire::Malformed& error) {
+    spdlog::error("unreadable record {}, {} stands still: {}", item.key, job, error.what());
+    in_doubt_.insert(job);
+    return false;
+  }
   std::function<void(wire::Stage)> ended;
   if (e.ending) ended = std::move(e.ending->durable);
   e.ending.reset();
   e.ended = true;
   in_doubt_.erase(job);
-  wire::Stage stage = wire::Stage::done;
-  try {
-    stage = wire::stage_from(wire::text_field(item.value, "stage"));
-  } catch (const wire::Malformed& error) {
-    spdlog::error("unreadable record {}: {}", item.key, error.what());
-  }
   audit::final_status(job, stage, item.version);
   if (ended)
     ended(stage);
   else
     hooks_.ended(job, stage);
+  return true;
 }
 
 }  // namespace seampass::leader
--- a/src/leader/record_store.h
+++ b/src/leader/record_store.h
@@ -123,7 +123,8 @@
               const state::TxnResult& result);
   void applied(const std::string& job, const Batch& batch, state::Version version);
   void read_back(const std::string& job, std::vector<RecordId> ids, bool verdict);
-  void take_final_status(const std::string& job, const state::Item& item);
+  // False if the record can't be read.
+  bool take_final_status(const std::string& job, const state::Item& item);
 
   net::Runtime& runtime_;
   state::Client& state_;
