--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -146,6 +146,24 @@
   w.expect_rules();
 }
 
+// A leader with more to do than it can, or a slow store: the answers to its renewals take longer
+// than other requests wait, and the lease still does not run out.
+TEST(Cluster, SlowRenewalsLoseNoLease) {
+  World w;
+  ASSERT_TRUE(w.settle());
+  const std::string leader = w.leader();
+  w.net.set_rule([](const std::string&, const net::Call& c) {
+    Fate f;
+    if (c.path.ends_with("/extend")) f.slow = 1400;
+    return f;
+  });
+  for (int i = 0; i < 60; ++i) {
+    w.time.run_for(1000);
+    ASSERT_EQ(w.leader(), leader);
+  }
+  w.expect_rules();
+}
+
 TEST(Cluster, LongOutageOfTheStoreLosesNoWorkWhileAllControllersVouch) {
   World w;
   ASSERT_TRUE(w.settle());
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -1,6 +1,8 @@
 // What bounds sockets and queues: on a large deployment each of them was once without a bound.
 #include <gtest/gtest.h>
 
+#include <optional>
+
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "standins/sim.h"
@@ -21,12 +23,16 @@
         loop, limits, [](const net::Request&, net::Answer answer) {
           answer({200, "{}", 0});
         }));
+    endpoints.push_back(listen(*servers.back()));
+    return *servers.back();
+  }
+  // On the first port that is free.
+  static std::string listen(net::HttpServer& server) {
     for (int port = 20000;; ++port) {
       const std::string endpoint = "127.0.0.1:" + std::to_string(port);
       try {
-        servers.back()->listen(endpoint);
-        endpoints.push_back(endpoint);
-        return *servers.back();
+        server.listen(endpoint);
+        return endpoint;
       } catch (const std::runtime_error&) {
         if (port > 60000) throw;
       }
@@ -111,6 +117,39 @@
   EXPECT_EQ(l.ask(*machines[0], l.endpoints[0], {"/api/jobs"}), 1);
 }
 
+// The process stands still for longer than its request may take, and the answer comes meanwhile: it
+// counts, since it is read in the turn after the one that was so long.
+TEST(Net, AnAnswerThatCameDuringALongTurnCounts) {
+  constexpr net::Ms kTimeout = 1000;
+  Loopback l;
+  net::Ms busy_until = 0;
+  net::HttpServer server(l.loop, {}, [&](const net::Request&, net::Answer answer) {
+    while (l.loop.now() < busy_until) {
+    }
+    answer({200, "{}", 0});
+  });
+  const std::string endpoint = Loopback::listen(server);
+  net::HttpClient client(l.loop, 4);
+  EXPECT_EQ(l.ask(client, endpoint, {"/keys/a"}), 1);  // connected
+  busy_until = l.loop.now() + kTimeout + 10;
+  std::optional<net::Reply> reply;
+  client.call({endpoint, "GET", "/keys/a", "", kTimeout}, [&](const net::Reply& r) { reply = r; });
+  while (!reply) uv_run(l.loop.raw(), UV_RUN_ONCE);
+  EXPECT_TRUE(reply->is(200));
+}
+
+// One that never comes is overdue all the same.
+TEST(Net, AnAnswerThatNeverComesIsUnknown) {
+  Loopback l;
+  net::HttpServer silent(l.loop, {}, [](const net::Request&, const net::Answer&) {});
+  net::HttpClient client(l.loop, 4);
+  std::optional<net::Reply> reply;
+  client.call({Loopback::listen(silent), "GET", "/keys/a", "", 500},
+              [&](const net::Reply& r) { reply = r; });
+  while (!reply) uv_run(l.loop.raw(), UV_RUN_ONCE);
+  EXPECT_EQ(reply->fate, net::Reply::Fate::unknown);
+}
+
 // Keeps calls until the test answers them.
 class HeldCaller : public net::HttpCaller {
  public:
--- a/tests/standins/sim.h
+++ b/tests/standins/sim.h
@@ -80,6 +80,7 @@
   int status = 0;                   // not 0: answered with this, not executed
   bool lose_answer = false;         // executed, but the answer never comes
   bool never = false;               // lost on its way, and so is every answer
+  std::optional<Ms> slow;           // arrives only after so long, and is answered then
   std::optional<std::string> body;  // instead of the answer's
   std::optional<Ms> late;
   std::optional<Ms> copy;  // comes once more after so long; nobody hears the answer to that
@@ -139,7 +140,7 @@
           it->second({call.method, call.path, call.body}, [](net::Response) {});
       });
     const bool deaf = fate.lose_answer || fate.late.has_value();
-    time_.after(fate.late.value_or(latency()),
+    time_.after(fate.late.value_or(fate.slow.value_or(latency())),
                 [this, alive, call, done, answered, deaf, life, body = fate.body] {
                   const auto it = services_.find(call.endpoint);
                   if (it == services_.end() || lives_[call.endpoint] != life) return;
