A busy leader keeps its lease: renewals at their pace, answers that are there are read

A renewal waits for half the lease's time to live, and the next goes out whether it was answered or not; an answer counts from when it was sent. A request is overdue only if the turn of the loop after its timer does not bring the answer either (timers run before sockets are read).

--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -7,6 +7,16 @@
 
 using state::Outcome;
 
+namespace {
+// So often a lease is renewed in its time to live.
+constexpr net::Ms kRenewals = 4;
+// While it is refused or not answered: twice as often.
+constexpr net::Ms kRetries = 8;
+// A renewal is waited for during this part of the time to live: longer than other requests, since
+// an answer is of use for as long as the lease that it grants.
+constexpr net::Ms kRenewalTimeout = 2;
+}  // namespace
+
 Election::Election(net::Runtime& runtime, state::Client& state, std::string node,
                    ElectionTimes times, std::function<void()> elected,
                    std::function<void()> deposed, std::size_t peers,
@@ -36,7 +46,7 @@
 
 void Election::retry(std::function<void()> what) {
   const std::uint64_t term = term_;
-  runtime_.after(times_.ttl / 8, [this, term, what = std::move(what)] {
+  runtime_.after(times_.ttl / kRetries, [this, term, what = std::move(what)] {
     if (term == term_) what();
   });
 }
@@ -127,7 +137,7 @@
   warrant_ = warrant;
   leader_ = node_;
   const std::uint64_t term = ++term_;
-  runtime_.after(times_.ttl / 4, [this, term] {
+  runtime_.after(times_.ttl / kRenewals, [this, term] {
     if (term == term_) renew();
   });
   heard_ = warrant;
@@ -137,29 +147,33 @@
   announce_(0);
 }
 
+// Renewals go out at their pace, whether the last was answered or not: the answers of a process
+// that is behind come late, and the lease must not run out for want of asking. An answer counts
+// from when its renewal was sent, however late it is.
 void Election::renew() {
   const std::uint64_t term = term_;
   const net::Ms sent = runtime_.now();
-  state_.renew(lease_, [this, term, sent](Outcome o) {
-    if (term != term_) return;
-    if (o == Outcome::missing) return lost(audit::Deposed::lease_ended);
-    if (o == Outcome::ok) {
-      granted_ = std::max(granted_, sent);
-      renewal_failed_ = extended_ = false;
-      announce_(0);
-    } else {
-      if (!std::exchange(renewal_failed_, true)) audit::renewal_failed(warrant_, since_grant());
-      // Perhaps the store is down for all. Nobody can have answered a cancellation that we don't
-      // know of unless somebody took over: if none did, the grace counts from now.
-      asked_ = runtime_.now();
-      confirmations_.clear();
-      announce_(++round_);
-    }
-    const net::Ms pause = o == Outcome::ok ? times_.ttl / 4 : times_.ttl / 8;
-    runtime_.after(pause, [this, term] {
-      if (term == term_) renew();
-    });
+  state_.renew(lease_, times_.ttl / kRenewalTimeout, [this, term, sent](Outcome outcome) {
+    if (term == term_) take_renewal(outcome, sent);
   });
+  runtime_.after(times_.ttl / (renewal_failed_ ? kRetries : kRenewals), [this, term] {
+    if (term == term_) renew();
+  });
+}
+
+void Election::take_renewal(Outcome outcome, net::Ms sent) {
+  if (outcome == Outcome::missing) return lost(audit::Deposed::lease_ended);
+  if (outcome == Outcome::ok) {
+    granted_ = std::max(granted_, sent);
+    renewal_failed_ = extended_ = false;
+    return announce_(0);
+  }
+  if (!std::exchange(renewal_failed_, true)) audit::renewal_failed(warrant_, since_grant());
+  // Perhaps the store is down for all. Nobody can have answered a cancellation that we don't
+  // know of unless somebody took over: if none did, the grace counts from now.
+  asked_ = runtime_.now();
+  confirmations_.clear();
+  announce_(++round_);
 }
 
 void Election::on_confirmation(const std::string& node, std::uint64_t round, std::uint64_t warrant,
--- a/src/leader/election.h
+++ b/src/leader/election.h
@@ -63,6 +63,7 @@
   void watch();
   void stand();
   void renew();
+  void take_renewal(state::Outcome outcome, net::Ms sent);
   void retry(std::function<void()> what);
   void won(state::Version warrant);
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,8 @@
 
 namespace {
 constexpr std::size_t kMaxResponse = 8U << 20;  // no honest answer is near this
+// The least that is not due in the turn of the loop in which it is set.
+constexpr Ms kNextTurn = 1;
 }
 
 struct HttpClient::Conn {
@@ -57,6 +59,18 @@
     finish(Reply{fate, 0, {}});
   }
 
+  // Timers run before sockets are read. In a process that is behind, a turn of the loop takes a
+  // good part of the timeout, and the answer is likely to be there, unread: it is overdue only if
+  // the turn that begins now does not bring it either. (Without this every request of a busy leader
+  // counts as unanswered, its connection is closed, and the next one takes two turns longer.)
+  void last_turn() {
+    timer = owner->loop_.after(kNextTurn, [this] {
+      timer = 0;
+      // A connection attempt that is given up does not complete later, so nothing was sent.
+      fail(connected ? Reply::Fate::unknown : Reply::Fate::not_sent);
+    });
+  }
+
   void close() {
     if (closing) return;
     closing = true;
@@ -219,11 +233,7 @@
   }
   conn->out = std::move(out);
   conn->done = std::move(done);
-  conn->timer = loop_.after(call.timeout, [conn] {
-    conn->timer = 0;
-    // A connection attempt that is given up does not complete later, so nothing was sent.
-    conn->fail(conn->connected ? Reply::Fate::unknown : Reply::Fate::not_sent);
-  });
+  conn->timer = loop_.after(call.timeout, [conn] { conn->last_turn(); });
   if (conn->connected) conn->start_request();
 }
 
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -149,9 +149,9 @@
          });
 }
 
-void Client::renew(std::uint64_t lease, std::function<void(Outcome)> done) {
+void Client::renew(std::uint64_t lease, Ms timeout, std::function<void(Outcome)> done) {
   submit(Urgency::lease,
-         Call{endpoint_, "POST", "/leases/" + std::to_string(lease) + "/extend", "", timeout_}, 0,
+         Call{endpoint_, "POST", "/leases/" + std::to_string(lease) + "/extend", "", timeout}, 0,
          [done = std::move(done)](const Reply& r) { done(outcome_of(r)); });
 }
 
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -109,7 +109,7 @@
   void watch(const std::string& prefix, Version since, net::Ms wait,
              std::function<void(WatchResult)> done);
   void grant(net::Ms ttl, std::function<void(LeaseResult)> done);
-  void renew(std::uint64_t lease, std::function<void(Outcome)> done);
+  void renew(std::uint64_t lease, net::Ms timeout, std::function<void(Outcome)> done);
   void end(std::uint64_t lease, std::function<void(Outcome)> done);
 
   // Whether the reads that answer one status query may be made now. Queries come as often as users
