An unreadable leader record ends no process

Another path with the flaw of the unreadable final status: a leader record whose node is no string threw out of a callback. It now names nobody and is logged. Cluster.AnUnreadableLeaderRecordEndsNoProcess.

--- a/src/leader/election.cc
+++ b/src/leader/election.cc
@@ -1,5 +1,7 @@
 #include "leader/election.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -15,6 +17,17 @@
 // A renewal is waited for during this part of the time to live: longer than other requests, since
 // an answer is of use for as long as the lease that it grants.
 constexpr net::Ms kRenewalTimeout = 2;
+
+// Who leads by this record; empty if it can't be read: nobody is known to lead, and nobody stands
+// until the record's lease is over.
+std::string node_named(const wire::Json& record) {
+  try {
+    return wire::text_field(record, "node");
+  } catch (const wire::Malformed& error) {
+    spdlog::error("unreadable record {}: {}", Election::kKey, error.what());
+    return {};
+  }
+}
 }  // namespace
 
 Election::Election(net::Runtime& runtime, state::Client& state, std::string node,
@@ -62,8 +75,7 @@
           return stand();
         }
         if (r.outcome != Outcome::ok) return retry([this] { read(); });
-        const auto& v = r.item.value;
-        const std::string who = v.is_object() ? v.value("node", "") : "";
+        const std::string who = node_named(r.item.value);
         if (who == node_) {
           // A former self, which is dead (or a try whose answer was lost): what is left of it is
           // fenced by the version once the key is gone.
@@ -91,7 +103,7 @@
       if (e.key != kKey) continue;
       vacant = !e.value;
       if (e.value) heard_ = std::max(heard_, e.version);
-      leader_ = e.value && e.value->is_object() ? e.value->value("node", "") : "";
+      leader_ = e.value ? node_named(*e.value) : "";
     }
     seen_ = r.revision;
     if (vacant) return stand();
--- a/tests/cluster_test.cc
+++ b/tests/cluster_test.cc
@@ -146,6 +146,18 @@
   w.expect_rules();
 }
 
+// What names no leader is no leader, and ends no process; once it is gone somebody leads.
+TEST(Cluster, AnUnreadableLeaderRecordEndsNoProcess) {
+  for (const char* value : {R"({"node":5})", R"({})", R"("n0")", "null"}) {
+    World w;
+    w.put("leader", wire::Json::parse(value));
+    w.time.run_for(20000);
+    EXPECT_EQ(w.leaders(), 0) << value;
+    w.remove("leader");
+    EXPECT_TRUE(w.settle()) << value;
+  }
+}
+
 // A leader with more to do than it can, or a slow store: the answers to its renewals take longer
 // than other requests wait, and the lease still does not run out.
 TEST(Cluster, SlowRenewalsLoseNoLease) {
--- a/tests/standins/world.h
+++ b/tests/standins/world.h
@@ -96,6 +96,10 @@
                           {"apply", {wire::Json{{"write", key}, {"v", value}}}}};
     state.handle({"POST", "/txn", body.dump()}, [](const net::Response&) {});
   }
+  void remove(const std::string& key) {
+    const wire::Json body{{"if", wire::Json::array()}, {"apply", {wire::Json{{"delete", key}}}}};
+    state.handle({"POST", "/txn", body.dump()}, [](const net::Response&) {});
+  }
   void slow_down(const std::string& name, Ms lag) { nodes_.at(name)->process.lag = lag; }
   void kill(const std::string& name) {
     net.silence(name + ":8080");
