--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -20,13 +20,8 @@
   return {ms(s.lease_s / 6), ms(s.cancel_s - s.lease_s - s.report_s / 3), ms(2 * s.lease_s)};
 }
 
-// The limits may change without notice: what is written fits both from the start.
-config::StateLimits limits_of(const config::Settings& s) {
-  return s.state_limits.least(s.next_state_limits);
-}
-
 leader::RecordSpans spans_of(const config::Settings& s) {
-  return leader::RecordSpans::for_values(s.state_limits.value_kb, limits_of(s).value_kb);
+  return leader::RecordSpans::for_values(s.state_limits.value_kb, s.least_state_limits().value_kb);
 }
 
 }  // namespace
@@ -35,8 +30,8 @@
            config::Settings settings, config::Operator op)
     : settings_(std::move(settings)),
       operator_(std::move(op)),
-      state_(runtime, http, settings_.state, limits_of(settings_).rps * kStoreRequests,
-             limits_of(settings_).write_rps * kStoreChanges, ms(settings_.report_s / 3)),
+      state_(runtime, http, settings_.state, settings_.least_state_limits().rps * kStoreRequests,
+             settings_.least_state_limits().write_rps * kStoreChanges, ms(settings_.report_s / 3)),
       cloud_(runtime, http, settings_.cloud, settings_.cloud_rps * 0.7,
              ms(std::max(settings_.report_s, 8 / settings_.cloud_rps))),
       types_(runtime, cloud_, ms(settings_.lease_s * 2), ms(settings_.report_s / 2)),
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -89,9 +89,11 @@
   return nullptr;
 }
 
-StateLimits StateLimits::least(const StateLimits& other) const {
-  return {std::min(rps, other.rps), std::min(write_rps, other.write_rps),
-          std::min(value_kb, other.value_kb), std::min(txn_ops, other.txn_ops)};
+StateLimits Settings::least_state_limits() const {
+  const StateLimits& now = state_limits;
+  const StateLimits& next = next_state_limits;
+  return {std::min(now.rps, next.rps), std::min(now.write_rps, next.write_rps),
+          std::min(now.value_kb, next.value_kb), std::min(now.txn_ops, next.txn_ops)};
 }
 
 namespace {
--- a/src/config/settings.h
+++ b/src/config/settings.h
@@ -34,9 +34,6 @@
 struct StateLimits {
   double rps = 0, write_rps = 0, value_kb = 0;
   int txn_ops = 0;
-
-  // The smaller of both, limit by limit.
-  StateLimits least(const StateLimits& other) const;
 };
 
 struct Settings {
@@ -51,6 +48,9 @@
   StateLimits state_limits;
   // Those that will hold from some moment on, without notice; as `state_limits` if none are named.
   StateLimits next_state_limits;
+  // The smaller of both, limit by limit: they may change without notice, and what is written for
+  // these fits before and after.
+  StateLimits least_state_limits() const;
   double cloud_rps = 0, list_lag_s = 0;
   double core_share = 1, memory_mb = 0;
   int fd_limit = 0;
--- a/src/jobs/api_handler.h
+++ b/src/jobs/api_handler.h
@@ -40,6 +40,7 @@
   bool storable(const wire::Json& record) const;
   // What is known of the jobs that one depends on, the worst of them; in this order.
   enum class Dependencies { accepted, cancelled, undecided, never_accepted };
+  static Dependencies dependency_state(const rpc::Answer& answer);
   void check_dependencies(const std::vector<std::string>& jobs,
                           std::function<void(Dependencies)> reply);
   // Writes the job, here or (where the store does not answer this node) through the leader.
--- a/src/jobs/job_status_reader.cc
+++ b/src/jobs/job_status_reader.cc
@@ -51,15 +51,15 @@
   order_.pop_back();
 }
 
-void JobStatusReader::query(const std::string& job, Done done) {
+void JobStatusReader::query(const std::string& job, const Done& done) {
   if (const auto known = final_status(job)) return done(Found::ended, *known, {});
   if (!state_.admit_query()) return done(Found::cannot, {}, {});
-  read_open(job, Purpose::query, std::move(done));
+  read_open(job, Purpose::query, done);
 }
 
-void JobStatusReader::read(const std::string& job, Done done) {
+void JobStatusReader::read(const std::string& job, const Done& done) {
   if (const auto known = final_status(job)) return done(Found::ended, *known, {});
-  read_open(job, Purpose::other, std::move(done));
+  read_open(job, Purpose::other, done);
 }
 
 // (A job that is not in `ends/` may have moved there since its `open/` was listed, or may be open:
@@ -89,28 +89,39 @@
   }
 };
 
+void JobStatusReader::read_open(const std::string& job, Purpose purpose, const Done& done) {
+  const auto on_open = [this, job, purpose, done](const state::Item& open,
+                                                  const std::vector<std::string>& dependencies) {
+    const auto walk = std::make_shared<UpstreamWalk>();
+    walk->open = open;
+    walk->status.id = job;
+    walk->purpose = purpose;
+    walk->done = done;
+    walk->add(dependencies);
+    walk_upstream(walk);
+  };
+  read_record(job, on_open, done);
+}
+
 // `open/` is read before `ends/`: a job moves from the first to the second in one transaction, so
 // in this order one that exists can't be missed in both.
-void JobStatusReader::read_open(const std::string& job, Purpose purpose, Done done) {
-  state_.get("open/" + job,
-             [this, job, purpose, done = std::move(done)](const state::GetResult& open) {
-               wire::JobStatus status;
-               status.id = job;
-               if (open.outcome == Outcome::missing) return read_final(job, done);
-               if (open.outcome != Outcome::ok) return done(Found::cannot, status, {});
-               const auto walk = std::make_shared<UpstreamWalk>();
-               walk->open = open.item;
-               walk->status = status;
-               walk->purpose = purpose;
-               walk->done = done;
-               try {
-                 walk->add(dependencies_of(open.item));
-               } catch (const std::exception&) {
-                 // An unreadable record is no answer.
-                 return done(Found::cannot, status, {});
-               }
-               walk_upstream(walk);
-             });
+void JobStatusReader::read_record(const std::string& job, OnOpen on_open, Done otherwise) {
+  state_.get("open/" + job, [this, job, on_open = std::move(on_open),
+                             otherwise = std::move(otherwise)](const state::GetResult& open) {
+    if (open.outcome == Outcome::missing) return read_final(job, otherwise);
+    wire::JobStatus status;
+    status.id = job;
+    if (open.outcome != Outcome::ok) return otherwise(Found::cannot, status, {});
+    std::vector<std::string> dependencies;
+    try {
+      dependencies = dependencies_of(open.item);
+    } catch (const std::exception& error) {
+      // An unreadable record is no answer.
+      spdlog::error("unreadable record {}: {}", open.item.key, error.what());
+      return otherwise(Found::cannot, status, {});
+    }
+    on_open(open.item, dependencies);
+  });
 }
 
 void JobStatusReader::read_final(const std::string& job, Done done) {
@@ -147,19 +158,14 @@
     const bool admitted = walk->purpose == Purpose::other || state_.admit_query();
     if (!admitted || ++walk->reads > kMostUpstreamReads)
       return walk->done(Found::cannot, walk->status, {});
-    const auto next = [this, walk, job](Found found, const wire::JobStatus&, const state::Item&) {
-      if (found != Found::ended) return walk->done(Found::cannot, walk->status, {});
-      walk->next.push_back(job);  // it is in the cache now
+    const auto on_open = [this, walk](const state::Item&,
+                                      const std::vector<std::string>& dependencies) {
+      walk->add(dependencies);
       walk_upstream(walk);
     };
-    return state_.get("open/" + job, [this, walk, job, next](const state::GetResult& open) {
-      if (open.outcome == Outcome::missing) return read_final(job, next);
-      if (open.outcome != Outcome::ok) return walk->done(Found::cannot, walk->status, {});
-      try {
-        walk->add(dependencies_of(open.item));
-      } catch (const std::exception&) {
-        return walk->done(Found::cannot, walk->status, {});
-      }
+    return read_record(job, on_open, [this, walk, job](Found found, const auto&, const auto&) {
+      if (found != Found::ended) return walk->done(Found::cannot, walk->status, {});
+      walk->next.push_back(job);  // it is in the cache now
       walk_upstream(walk);
     });
   }
--- a/src/jobs/job_status_reader.h
+++ b/src/jobs/job_status_reader.h
@@ -36,8 +36,8 @@
   using Done = std::function<void(Found, const wire::JobStatus&, const state::Item& open)>;
 
   // For a status query: `cannot` at once if the state service has nothing left for it.
-  void query(const std::string& job, Done done);
-  void read(const std::string& job, Done done);
+  void query(const std::string& job, const Done& done);
+  void read(const std::string& job, const Done& done);
   // For a job that has probably ended: one request if it has.
   void read_ended(const std::string& job, Done done);
 
@@ -45,7 +45,11 @@
   enum class Purpose { query, other };
   struct UpstreamWalk;
 
-  void read_open(const std::string& job, Purpose purpose, Done done);
+  using OnOpen = std::function<void(const state::Item& open, const std::vector<std::string>&)>;
+
+  void read_open(const std::string& job, Purpose purpose, const Done& done);
+  // Looks under both keys: `on_open` gets an open job with its dependencies, `otherwise` the rest.
+  void read_record(const std::string& job, OnOpen on_open, Done otherwise);
   void read_final(const std::string& job, Done done);
   void walk_upstream(const std::shared_ptr<UpstreamWalk>& walk);
 
--- a/src/jobs/submissions.cc
+++ b/src/jobs/submissions.cc
@@ -17,6 +17,14 @@
 constexpr double kValueShare = 0.9;
 }  // namespace
 
+ApiHandler::Dependencies ApiHandler::dependency_state(const rpc::Answer& answer) {
+  if (answer.verdict == rpc::Verdict::cannot) return Dependencies::undecided;
+  // (Only a read of the store says so.)
+  if (answer.verdict == rpc::Verdict::unknown) return Dependencies::never_accepted;
+  return answer.status.stage == wire::Stage::cancelled ? Dependencies::cancelled
+                                                       : Dependencies::accepted;
+}
+
 std::string ApiHandler::impossible(const wire::Job& job) const {
   const config::Team* team = settings_.team(job.team);
   if (!team) return "unknown team";
@@ -42,7 +50,7 @@
 
 // What the state service will not take can't be kept, and so can't be accepted.
 bool ApiHandler::storable(const wire::Json& record) const {
-  const double kb = settings_.state_limits.least(settings_.next_state_limits).value_kb;
+  const double kb = settings_.least_state_limits().value_kb;
   return static_cast<double>(record.dump().size()) <= kValueShare * kb * 1024;
 }
 
@@ -94,7 +102,7 @@
   });
 }
 
-// All are asked about at once. Only a read of the store says that one was never accepted.
+// All are asked about at once.
 void ApiHandler::check_dependencies(const std::vector<std::string>& jobs,
                                     std::function<void(Dependencies)> reply) {
   struct Check {
@@ -107,13 +115,7 @@
   check->reply = std::move(reply);
   for (const std::string& job : jobs) {
     status(job, Purpose::acceptance, [check](const rpc::Answer& answer) {
-      const bool cancelled = answer.status.stage == wire::Stage::cancelled;
-      const Dependencies found = answer.verdict == rpc::Verdict::cannot ? Dependencies::undecided
-                                 : answer.verdict == rpc::Verdict::unknown
-                                     ? Dependencies::never_accepted
-                                 : cancelled ? Dependencies::cancelled
-                                             : Dependencies::accepted;
-      check->worst = std::max(check->worst, found);
+      check->worst = std::max(check->worst, dependency_state(answer));
       if (--check->left == 0) check->reply(check->worst);
     });
   }
--- a/src/leader/cluster_version.cc
+++ b/src/leader/cluster_version.cc
@@ -36,10 +36,8 @@
 
 void ClusterVersion::stop() {
   ++term_;
-  epoch_ = 0;
   loaded_ = wanted_ = writing_ = finalized_ = false;
   spans_ = own_spans_;
-  hooks_ = {};
 }
 
 void ClusterVersion::finalize() {
@@ -47,9 +45,9 @@
   try_finalize();
 }
 
-void ClusterVersion::again(std::function<void()> step) {
-  runtime_.after(retry_, [this, term = term_, step = std::move(step)] {
-    if (term == term_) step();
+void ClusterVersion::read_later() {
+  runtime_.after(retry_, [this, term = term_] {
+    if (term == term_) read();
   });
 }
 
@@ -63,29 +61,29 @@
   } catch (const wire::Malformed& error) {
     spdlog::error("unreadable record {}: {}", kKey, error.what());
   }
-  if (recorded.segment == 0 || recorded.chunk == 0) return again([this] { read(); });
+  if (recorded.segment == 0 || recorded.chunk == 0) return read_later();
   writing_ = false;
   spans_ = recorded;
   finalized_ = true;
   const bool first = !std::exchange(loaded_, true);
   const std::uint64_t term = term_;
-  if (hooks_.finalized) hooks_.finalized();
-  if (first && term == term_ && hooks_.loaded) hooks_.loaded();
+  hooks_.finalized();
+  if (first && term == term_) hooks_.loaded();
 }
 
 void ClusterVersion::read() {
   state_.get(kKey, [this, term = term_](const state::GetResult& result) {
     if (term != term_) return;
     if (result.outcome == Outcome::ok) return take(result.item.value);
-    if (result.outcome != Outcome::missing) return again([this] { read(); });
+    if (result.outcome != Outcome::missing) return read_later();
     writing_ = false;
-    if (!std::exchange(loaded_, true) && hooks_.loaded) hooks_.loaded();
+    if (!std::exchange(loaded_, true)) hooks_.loaded();
     if (term == term_) try_finalize();
   });
 }
 
 void ClusterVersion::try_finalize() {
-  if (!loaded_ || finalized_ || writing_ || epoch_ == 0) return;
+  if (!loaded_ || finalized_ || writing_) return;
   if (!wanted_ && known_.size() < peers_) return;
   write();
 }
@@ -110,7 +108,7 @@
                    std::find(failed.begin(), failed.end(), Election::kKey) != failed.end())
                  return hooks_.fenced();
                // Whether it was written is not known, or another's record is there.
-               again([this] { read(); });
+               read_later();
              });
 }
 
--- a/src/leader/cluster_version.h
+++ b/src/leader/cluster_version.h
@@ -6,7 +6,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -49,7 +48,7 @@
   void read();
   void write();
   void try_finalize();
-  void again(std::function<void()> step);
+  void read_later();
   void take(const wire::Json& value);
 
   net::Runtime& runtime_;
--- a/src/leader/controller.cc
+++ b/src/leader/controller.cc
@@ -26,7 +26,7 @@
       settings_(settings),
       operator_(op),
       records_(
-          runtime, state, settings.state_limits.least(settings.next_state_limits),
+          runtime, state, settings.least_state_limits(),
           {[this](const std::string& id, const RecordId& record) { return render(id, record); },
            [this] { election_.lost(audit::Deposed::fenced); },
            [this](const std::string& id, wire::Stage stage) { on_ended(id, stage); },
@@ -107,8 +107,8 @@
 void Controller::accepted(const std::string& id, const Json& record, state::Version version) {
   if (!active_ || jobs_.contains(id)) return;
   // News of an acceptance can be older than the job's end. (A verdict that has left this cache is
-  // still found: the transaction that would assign its tasks compares ends/<id>.)
-  // (One that depends on a cancelled job may be known as cancelled before its end is written.)
+  // still found: the transaction that would assign its tasks compares ends/<id>. One that depends
+  // on a cancelled job may be known as cancelled before its end is written.)
   if (status_reader_.written(id)) return;
   auto job = std::make_unique<JobRecord>();
   try {
@@ -142,16 +142,16 @@
   aim->second.recent.emplace_back(runtime_.now() - age, job.spec.tasks);
 }
 
-rpc::Answer Controller::status_of(const JobRecord& job) {
+rpc::Answer Controller::status_of(const JobRecord& job) const {
   rpc::Answer a;
   a.verdict = rpc::Verdict::known;
   a.status.id = job.spec.id;
   a.status.done = job.finished_count;
   a.status.running = job.ended ? 0 : job.running;
-  a.status.stage = job.ended                ? job.stage
-                   : job.upstream_cancelled ? wire::Stage::cancelled
-                   : job.running > 0        ? wire::Stage::running
-                                            : wire::Stage::queued;
+  a.status.stage = job.ended                 ? job.stage
+                   : upstream_cancelled(job) ? wire::Stage::cancelled
+                   : job.running > 0         ? wire::Stage::running
+                                             : wire::Stage::queued;
   return a;
 }
 
@@ -162,9 +162,9 @@
   // A job recovered after its end has no stage here; its verdict is read.
   if (it != jobs_.end() && !(it->second->ended && it->second->stage == wire::Stage::queued)) {
     JobRecord& job = *it->second;
+    if (job.ended || upstream_cancelled(job)) return reply(status_of(job));
     // A verdict whose transaction is out may have been read by another node already: until this one
     // knows, only the store can tell.
-    if (job.ended || job.upstream_cancelled) return reply(status_of(job));
     if (!cancel && (records_.outcome_unknown(id) || !upstream_certain(id))) return reply({});
     if (!cancel) return reply(status_of(job));
     job.waiters.push_back(std::move(reply));
@@ -215,7 +215,7 @@
   const std::string id = job.spec.id;
   const bool done = job.finished_count == job.spec.tasks;
   // What is cancelled with another follows from that one's end: nobody waits for its own.
-  const Urgency urgency = job.upstream_cancelled ? Urgency::progress : Urgency::final_status;
+  const Urgency urgency = upstream_cancelled(job) ? Urgency::progress : Urgency::final_status;
   records_.end(id, job.open_version, done ? wire::Stage::done : wire::Stage::cancelled,
                job.finished_count, urgency,
                [this, id](wire::Stage actual) { on_ended(id, actual); });
--- a/src/leader/controller.h
+++ b/src/leader/controller.h
@@ -69,12 +69,17 @@
   void take_record(const state::Item& item);
   void take_collected();
   JobRecord& ended_job(const std::string& id, const TaskRecord& record);
-  void apply_record(JobRecord& job, const TaskRecord& record, const std::set<std::uint32_t>& known);
+  // `covered`: by task, whether a newer record tells of it.
+  void apply_record(JobRecord& job, const TaskRecord& record, const std::vector<bool>& covered);
   void watch();
 
   // Dependencies: dependencies.cc.
   void job_ready(const std::string& id, const std::string& dependency);
   void cancel_dependent(const std::string& id);
+  // A job that it depends on is cancelled, durably: so is this one for whoever asks, from then on.
+  bool upstream_cancelled(const JobRecord& job) const {
+    return dependencies_.graph().cancelled(job.spec.id);
+  }
   // Whether its state can be told from memory: nothing upstream is unknown or in doubt.
   bool upstream_certain(const std::string& id) const;
 
@@ -97,7 +102,7 @@
   void note_arrival(const JobRecord& job);
   void on_ended(const std::string& id, wire::Stage stage);
   void erase_if_settled(const std::string& id);
-  static rpc::Answer status_of(const JobRecord& job);
+  rpc::Answer status_of(const JobRecord& job) const;
 
   // Attempts: attempts.cc.
   TaskAttempt* find_attempt(const std::string& job, std::uint32_t task);
--- a/src/leader/dependencies.cc
+++ b/src/leader/dependencies.cc
@@ -20,8 +20,7 @@
 // end can be written or not: that follows from the records of what it depends on.
 void Controller::cancel_dependent(const std::string& id) {
   JobRecord* job = find_job(id);
-  if (!job || job->ended || job->upstream_cancelled) return;
-  job->upstream_cancelled = true;
+  if (!job || job->ended) return;
   job->ending = true;
   job->held.clear();
   spdlog::debug("cancelled {} with a job that it depends on", id);
--- a/src/leader/job_record.h
+++ b/src/leader/job_record.h
@@ -71,8 +71,6 @@
   bool ending = false;
   bool concluding = false;
   bool ended = false;
-  // A job that it depends on is cancelled, durably: so is this one for whoever asks, from then on.
-  bool upstream_cancelled = false;
   // A durable record of its attempts can't be read: nothing of it may be started.
   bool unreadable = false;
   wire::Stage stage = wire::Stage::queued;
--- a/src/leader/record_store.cc
+++ b/src/leader/record_store.cc
@@ -27,6 +27,21 @@
   return "work/" + job + "/" + record_name(id);
 }
 
+void RecordStore::Record::mark_dirty(Urgency at_least) {
+  urgency = dirty ? std::min(urgency, at_least) : at_least;
+  dirty = true;
+}
+
+void RecordStore::Record::mark_unsent() {
+  sending = false;
+  dirty = true;
+}
+
+void RecordStore::Record::move_waiters_to(std::vector<std::function<void()>>& list) {
+  for (auto& waiter : waiters) list.push_back(std::move(waiter));
+  waiters.clear();
+}
+
 RecordStore::RecordStore(net::Runtime& runtime, state::Client& state,
                          const config::StateLimits& limits, Hooks hooks)
     : runtime_(runtime), state_(state), limits_(limits), hooks_(std::move(hooks)) {}
@@ -45,8 +60,7 @@
 void RecordStore::changed(const std::string& job, const RecordId& id, Urgency urgency,
                           std::function<void()> durable) {
   Record& r = jobs_[job].records[id];
-  r.urgency = r.dirty ? std::min(r.urgency, urgency) : urgency;
-  r.dirty = true;
+  r.mark_dirty(urgency);
   if (durable) r.waiters.push_back(std::move(durable));
   hurry(job, urgency);
   flush(job);
@@ -58,11 +72,7 @@
   Record& gone = entry.records[old];
   const Urgency urgency = gone.dirty ? gone.urgency : Urgency::progress;
   gone.dirty = gone.replaced = true;
-  for (const RecordId& id : with) {
-    Record& next = entry.records[id];
-    next.urgency = next.dirty ? std::min(next.urgency, urgency) : urgency;
-    next.dirty = true;
-  }
+  for (const RecordId& id : with) entry.records[id].mark_dirty(urgency);
   flush(job);
 }
 
@@ -79,10 +89,7 @@
 void RecordStore::hurry(const std::string& job, Urgency urgency) {
   Entry& e = jobs_.at(job);
   if (!e.busy || e.ticket == 0 || urgency >= e.urgency || !state_.withdraw(e.ticket)) return;
-  for (const RecordId& id : e.sent) {
-    e.records[id].sending = false;
-    e.records[id].dirty = true;
-  }
+  for (const RecordId& id : e.sent) e.records[id].mark_unsent();
   e.ticket = 0;
   e.busy = false;
 }
@@ -98,9 +105,8 @@
   const auto j = jobs_.find(job);
   if (j == jobs_.end()) return true;
   if (j->second.busy || j->second.ending) return false;
-  return std::all_of(j->second.records.begin(), j->second.records.end(), [](const auto& r) {
-    return !r.second.dirty && !r.second.sending && r.second.version == 0;
-  });
+  return std::all_of(j->second.records.begin(), j->second.records.end(),
+                     [](const auto& r) { return !r.second.exists(); });
 }
 
 std::vector<RecordId> RecordStore::records(const std::string& job) const {
@@ -108,17 +114,20 @@
   const auto j = jobs_.find(job);
   if (j != jobs_.end())
     for (const auto& [id, r] : j->second.records)
-      if (r.version != 0 || r.dirty || r.sending) list.push_back(id);
+      if (r.exists()) list.push_back(id);
   return list;
 }
 
-bool RecordStore::in_use(const std::string& job, const RecordId& id) const {
+std::optional<RecordId> RecordStore::chunk_in_use(const std::string& job) const {
   const auto j = jobs_.find(job);
-  if (j == jobs_.end()) return false;
-  const auto found = j->second.records.find(id);
-  if (found == j->second.records.end()) return false;
-  const Record& r = found->second;
-  return !r.replaced && (r.version != 0 || r.dirty || r.sending);
+  if (j == jobs_.end()) return std::nullopt;
+  // (Chunks come after the segments.)
+  const auto& records = j->second.records;
+  const auto chunk =
+      std::find_if(records.lower_bound({Layout::chunks, 0}), records.end(),
+                   [](const auto& r) { return !r.second.replaced && r.second.exists(); });
+  if (chunk == records.end()) return std::nullopt;
+  return chunk->first;
 }
 
 std::vector<std::string> RecordStore::jobs_writing(Layout layout) const {
@@ -163,8 +172,7 @@
     if (!r.dirty || r.version != 0) continue;
     if (r.replaced ? others : hooks_.render(job, id).has_value()) continue;
     r.dirty = r.replaced = false;
-    for (auto& waiter : r.waiters) waiters.push_back(std::move(waiter));
-    r.waiters.clear();
+    r.move_waiters_to(waiters);
   }
   const std::uint64_t term = term_;
   for (const auto& waiter : waiters)
@@ -238,10 +246,7 @@
 void RecordStore::failed(const std::string& job, const Batch& batch, bool doubt,
                          const state::TxnResult& result) {
   Entry& e = jobs_.at(job);
-  for (const RecordId& id : batch.ids) {
-    e.records[id].sending = false;
-    e.records[id].dirty = true;
-  }
+  for (const RecordId& id : batch.ids) e.records[id].mark_unsent();
   if (result.outcome == Outcome::refused || result.outcome == Outcome::invalid) {
     e.busy = false;
     if (!doubt) in_doubt_.erase(job);  // this one was certainly not carried out
@@ -270,18 +275,14 @@
     // A waiter that came while this was on its way belongs to the next write.
     if (r.dirty) continue;
     r.replaced = false;
-    for (auto& w : r.waiters) ready.push_back(std::move(w));
-    r.waiters.clear();
+    r.move_waiters_to(ready);
   }
   std::function<void(wire::Stage)> ended;
   wire::Stage stage = wire::Stage::done;
   if (batch.verdict && e.ending) {
-    ended = std::move(e.ending->durable);
     stage = e.ending->stage;
     audit::final_status(job, stage, version);
-    e.ending.reset();
-    e.ended = true;
-    in_doubt_.erase(job);
+    ended = set_ended(job);
   }
   const std::uint64_t term = term_;
   if (ended) ended(stage);
@@ -322,12 +323,21 @@
   });
 }
 
+std::function<void(wire::Stage)> RecordStore::set_ended(const std::string& job) {
+  Entry& e = jobs_.at(job);
+  std::function<void(wire::Stage)> durable;
+  if (e.ending) durable = std::move(e.ending->durable);
+  e.ending.reset();
+  e.ended = true;
+  in_doubt_.erase(job);
+  return durable;
+}
+
 // The first final status stands, ours or another's. One that can't be read is neither `done`, by
 // which dependents would start, nor `withdrawn`: the outcome stays unknown and the record is read
 // again.
 bool RecordStore::take_final_status(const std::string& job, const state::Item& item) {
-  Entry& e = jobs_.at(job);
-  if (e.ended) return true;
+  if (jobs_.at(job).ended) return true;
   wire::Stage stage = wire::Stage::done;
   try {
     stage = jobs::decode_final_status(item.value).stage;
@@ -336,11 +346,7 @@
     in_doubt_.insert(job);
     return false;
   }
-  std::function<void(wire::Stage)> ended;
-  if (e.ending) ended = std::move(e.ending->durable);
-  e.ending.reset();
-  e.ended = true;
-  in_doubt_.erase(job);
+  const std::function<void(wire::Stage)> ended = set_ended(job);
   audit::final_status(job, stage, item.version);
   if (ended)
     ended(stage);
--- a/src/leader/record_store.h
+++ b/src/leader/record_store.h
@@ -67,8 +67,8 @@
   bool settled(const std::string& job) const;
   // The records that are or may be in the store.
   std::vector<RecordId> records(const std::string& job) const;
-  // Whether this record is or may be in the store, and is not being replaced.
-  bool in_use(const std::string& job, const RecordId& id) const;
+  // The first chunk among them that is not being replaced.
+  std::optional<RecordId> chunk_in_use(const std::string& job) const;
   // Jobs with a record of this layout that waits to be written, or is on its way.
   std::vector<std::string> jobs_writing(Layout layout) const;
   void forget(const std::string& job) {
@@ -83,6 +83,12 @@
     bool replaced = false;  // to be deleted once the others are durable
     state::Urgency urgency = state::Urgency::progress;
     std::vector<std::function<void()>> waiters;
+
+    // It is or may be in the store, or will be.
+    bool exists() const { return version != 0 || dirty || sending; }
+    void mark_dirty(state::Urgency at_least);
+    void mark_unsent();
+    void move_waiters_to(std::vector<std::function<void()>>& list);
   };
   struct FinalStatus {
     state::Version open_version = 0;
@@ -125,6 +131,8 @@
   void read_back(const std::string& job, std::vector<RecordId> ids, bool verdict);
   // False if the record can't be read.
   bool take_final_status(const std::string& job, const state::Item& item);
+  // The final status is in the store; whoever waits for that, if anybody.
+  std::function<void(wire::Stage)> set_ended(const std::string& job);
 
   net::Runtime& runtime_;
   state::Client& state_;
--- a/src/leader/recovery.cc
+++ b/src/leader/recovery.cc
@@ -97,18 +97,21 @@
 // A segment counts before a chunk, for all tasks in its range: it is newer, whatever the chunk
 // says.
 void Controller::take_collected() {
-  const std::vector<TaskRecord> records = std::exchange(collected_, {});
-  std::set<std::uint32_t> known;  // tasks that a segment covers
-  for (const Layout layout : {Layout::segments, Layout::chunks}) {
-    for (const TaskRecord& record : records) {
-      if (record.id.layout != layout) continue;
-      JobRecord* job = find_job(collected_job_);
-      apply_record(job ? *job : ended_job(collected_job_, record), record, known);
-    }
-    for (const TaskRecord& record : records)
-      for (std::uint32_t task = record.range.first; task < record.range.end; ++task)
-        if (record.id.layout == layout) known.insert(task);
-  }
+  std::vector<TaskRecord> records = std::exchange(collected_, {});
+  if (records.empty()) return;
+  JobRecord* known = find_job(collected_job_);
+  JobRecord& job = known ? *known : ended_job(collected_job_, records.front());
+  const auto chunks = std::stable_partition(
+      records.begin(), records.end(),
+      [](const TaskRecord& record) { return record.id.layout == Layout::segments; });
+  std::vector<bool> covered(job.spec.tasks, false);
+  const auto apply = [&](const TaskRecord& record) { apply_record(job, record, covered); };
+  std::for_each(records.begin(), chunks, apply);
+  std::for_each(records.begin(), chunks, [&](const TaskRecord& record) {
+    for (std::uint32_t task = record.range.first; task < record.range.end; ++task)
+      if (task < job.spec.tasks) covered[task] = true;
+  });
+  std::for_each(chunks, records.end(), apply);
 }
 
 // Ended, but some of its tasks were not known to be gone.
@@ -127,17 +130,15 @@
 }
 
 void Controller::apply_record(JobRecord& job, const TaskRecord& record,
-                              const std::set<std::uint32_t>& known) {
+                              const std::vector<bool>& covered) {
+  const auto is_other = [&](std::uint32_t task) { return task >= job.spec.tasks || covered[task]; };
   job.last_attempt = std::max(job.last_attempt, record.last_attempt);
   for (std::uint32_t i = 0; i < record.finished.size(); ++i) {
     const std::uint32_t task = record.range.first + i;
-    if (record.finished[i] && task < job.spec.tasks && !known.contains(task))
-      finish_task(job, task);
+    if (record.finished[i] && !is_other(task)) finish_task(job, task);
   }
   for (const Assignment& assigned : record.assignments) {
-    if (assigned.task >= job.spec.tasks || known.contains(assigned.task) ||
-        job.attempts.contains(assigned.task))
-      continue;
+    if (is_other(assigned.task) || job.attempts.contains(assigned.task)) continue;
     TaskAttempt& attempt = attempts_.add(job, assigned.task, assigned.attempt,
                                          fleet_.ensure(assigned.machine), assigned.session);
     attempt.durable = attempt.sent = true;
--- a/src/leader/task_records.cc
+++ b/src/leader/task_records.cc
@@ -18,16 +18,16 @@
 // A chunk goes once segments cover all of it. Until then it counts for the tasks that no segment
 // covers (apply_record), so that each transaction on the way leaves records that are complete.
 void Controller::replace_chunks(const std::string& id) {
-  const JobRecord* job = find_job(id);
-  if (!job || job->unreadable) return;
-  for (const RecordId& record : records_.records(id)) {
-    if (record.layout != Layout::chunks || !records_.in_use(id, record)) continue;
-    const TaskRange range = layout_.range(record, job->spec.tasks);
+  while (const auto chunk = records_.chunk_in_use(id)) {
+    // (Who waited for a record may have ended the job.)
+    const JobRecord* job = find_job(id);
+    if (!job || job->unreadable) return;
+    const TaskRange range = layout_.range(*chunk, job->spec.tasks);
     std::vector<RecordId> segments;
     for (std::uint32_t task = range.first; task < range.end;
          task = layout_.range(segments.back(), job->spec.tasks).end)
       segments.push_back(layout_.record_of(task));
-    records_.replace(id, record, segments);
+    records_.replace(id, *chunk, segments);
   }
 }
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -11,7 +11,7 @@
 constexpr std::size_t kMaxResponse = 8U << 20;  // no honest answer is near this
 // The least that is not due in the turn of the loop in which it is set.
 constexpr Ms kNextTurn = 1;
-}
+}  // namespace
 
 struct HttpClient::Conn {
   HttpClient* owner;
--- a/src/sched/dependency_graph.cc
+++ b/src/sched/dependency_graph.cc
@@ -87,10 +87,8 @@
     connect(node, dependency);
   }
   if (!cancelled) return effects;
-  effects.cancelled = cancel_downstream(node);
+  effects.cancelled = cancel_with_downstream(node);
   effects.cancelled.push_back(job);
-  node.state = State::cancelled;
-  disconnect_upstream(node);
   return effects;
 }
 
@@ -114,28 +112,29 @@
   const auto entry = nodes_.find(job);
   if (entry == nodes_.end()) return effects;
   Node& node = entry->second;
-  node.state = State::cancelled;  // (an unknown one would go with the last that names it)
-  effects.cancelled = cancel_downstream(node);
-  disconnect_upstream(node);
+  effects.cancelled = cancel_with_downstream(node);
   erase(node);
   return effects;
 }
 
-// All that depend on this job, directly or through others: none has begun, since this one was not
-// done.
-std::vector<std::string> DependencyGraph::cancel_downstream(Node& job) {
+// None of the others has begun, since this one was not done.
+std::vector<std::string> DependencyGraph::cancel_with_downstream(Node& job) {
   std::vector<std::string> result;
-  std::vector<Node*> next{&job};
+  std::vector<Node*> next;
+  const auto mark = [&](Node& node) {
+    // (Before anything is let go of: an unknown job goes with the last that names it.)
+    node.state = State::cancelled;
+    // Once it is cancelled, nothing else that it depends on matters.
+    disconnect_upstream(node);
+    next.push_back(&node);
+  };
+  mark(job);
   while (!next.empty()) {
-    Node& node = *next.back();
+    const NodeSet downstream = next.back()->downstream;
     next.pop_back();
-    const NodeSet downstream = node.downstream;
     for (Node* dependent : downstream) {
-      // Once it is cancelled, nothing else that it depends on matters.
-      disconnect_upstream(*dependent);
-      dependent->state = State::cancelled;
+      mark(*dependent);
       result.push_back(dependent->job);
-      next.push_back(dependent);
     }
   }
   return result;
--- a/src/sched/dependency_graph.h
+++ b/src/sched/dependency_graph.h
@@ -75,7 +75,8 @@
   void disconnect_upstream(Node& job);
   // Brings the effective priorities of this job and of those upstream up to date.
   static void update_priority(Node& job);
-  std::vector<std::string> cancel_downstream(Node& job);
+  // Marks it and all that depend on it, directly or through others; the names of these others.
+  std::vector<std::string> cancel_with_downstream(Node& job);
   static std::vector<const Node*> visit_upstream(const Node& job);
   void erase(Node& job);
 
--- a/tests/dependencies_test.cc
+++ b/tests/dependencies_test.cc
@@ -1,7 +1,6 @@
 // Jobs that wait for others, in a whole deployment in simulated time.
 #include <gtest/gtest.h>
 
-#include "leader/election.h"
 #include "standins/world.h"
 
 namespace seampass::standins {
@@ -12,6 +11,15 @@
   return job;
 }
 
+// Through n0: each depends on the one before it.
+void submit_chain(World& w, const std::vector<wire::Job>& jobs) {
+  std::vector<std::string> before;
+  for (const wire::Job& job : jobs) {
+    w.submit("n0", after(job, before));
+    before = {job.id};
+  }
+}
+
 std::string body_with(const wire::Json& dependencies) {
   wire::Json body = wire::Json::parse(wire::to_json(array_job("wk-7", 1)).dump());
   body["waits_on"] = dependencies;
@@ -80,8 +88,7 @@
 TEST(Dependencies, SuccessorStartsAtOnce) {
   World w;
   ASSERT_TRUE(w.settle());
-  w.submit("n0", array_job("wk-1", 1, 10));
-  w.submit("n0", after(array_job("wk-2", 1, 10), {"wk-1"}));
+  submit_chain(w, {array_job("wk-1", 1, 10), array_job("wk-2", 1, 10)});
   ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
   while (!w.state.has("ends/wk-1") && w.time.now() < 60000) w.time.run_for(10);
   const Ms ended = w.time.now();
@@ -107,8 +114,7 @@
 TEST(Dependencies, AreCancelledWithWhatTheyNeed) {
   World w;
   ASSERT_TRUE(w.settle());
-  w.submit("n0", array_job("wk-1", 2, 300));
-  w.submit("n0", after(array_job("wk-2", 2, 5), {"wk-1"}));
+  submit_chain(w, {array_job("wk-1", 2, 300), array_job("wk-2", 2, 5)});
   w.submit("n1", after(array_job("wk-3", 2, 5), {"wk-2"}));
   ASSERT_EQ(w.cancel_until_told("n2", "wk-1", 30000).stage(), "withdrawn");
   for (const char* node : {"n0", "n1", "n2"})
@@ -129,8 +135,7 @@
   for (const Ms delay : {0, 20, 100, 400}) {
     World w;
     ASSERT_TRUE(w.settle());
-    w.submit("n0", array_job("wk-1", 1, 5));
-    w.submit("n0", after(array_job("wk-2", 1, 5), {"wk-1"}));
+    submit_chain(w, {array_job("wk-1", 1, 5), array_job("wk-2", 1, 5)});
     while (w.judge.done.count({"wk-1", 0}) == 0) w.time.run_for(5);
     w.time.run_for(delay);
     const auto told = w.cancel_until_told("n1", "wk-1", 30000);
@@ -145,10 +150,9 @@
   for (const bool leader_ends : {false, true}) {
     World w;
     ASSERT_TRUE(w.settle());
-    w.submit("n0", array_job("wk-1", 2, 300));
-    for (int i = 2; i <= 12; ++i)
-      w.submit("n0",
-               after(array_job("wk-" + std::to_string(i), 1, 5), {"wk-" + std::to_string(i - 1)}));
+    std::vector<wire::Job> chain{array_job("wk-1", 2, 300)};
+    for (int i = 2; i <= 12; ++i) chain.push_back(array_job("wk-" + std::to_string(i), 1, 5));
+    submit_chain(w, chain);
     ASSERT_EQ(w.cancel_until_told("n0", "wk-1", 30000).stage(), "withdrawn");
     w.state.down = true;
     const std::string old = w.leader();
@@ -175,9 +179,7 @@
 TEST(Dependencies, NodesWithoutALeaderDeriveTheEnd) {
   World w;
   ASSERT_TRUE(w.settle());
-  w.submit("n0", array_job("wk-1", 2, 300));
-  w.submit("n0", after(array_job("wk-2", 1, 5), {"wk-1"}));
-  w.submit("n0", after(array_job("wk-3", 1, 5), {"wk-2"}));
+  submit_chain(w, {array_job("wk-1", 2, 300), array_job("wk-2", 1, 5), array_job("wk-3", 1, 5)});
   const std::string leader = w.leader(), follower = w.follower();
   EXPECT_EQ(w.poll(follower, "wk-3").stage(), "queued");
   // The leader writes nothing more but the first end, and hears nobody.
@@ -199,8 +201,7 @@
 TEST(Dependencies, NothingIsSaidFromMemoryWhileAnEndUpstreamIsInDoubt) {
   World w;
   ASSERT_TRUE(w.settle());
-  w.submit("n0", array_job("wk-1", 1, 300));
-  w.submit("n0", after(array_job("wk-2", 1, 5), {"wk-1"}));
+  submit_chain(w, {array_job("wk-1", 1, 300), array_job("wk-2", 1, 5)});
   const std::string leader = w.leader(), follower = w.follower();
   bool cut = false;
   w.net.set_rule([&](const std::string& from, const net::Call& c) {
@@ -232,13 +233,10 @@
   World w;
   ASSERT_TRUE(w.settle());
   for (int chain = 0; chain < 4; ++chain) {
-    std::string before;
-    for (int i = 0; i < 5; ++i) {
-      const std::string id = "wk-" + std::to_string(chain * 10 + i + 1);
-      w.submit("n0", after(array_job(id, 2, 6), before.empty() ? std::vector<std::string>{}
-                                                               : std::vector<std::string>{before}));
-      before = id;
-    }
+    std::vector<wire::Job> jobs;
+    for (int i = 1; i <= 5; ++i)
+      jobs.push_back(array_job("wk-" + std::to_string(chain * 10 + i), 2, 6));
+    submit_chain(w, jobs);
   }
   for (int i = 0; i < 4; ++i) {
     w.time.run_for(9000 + 700 * i);
@@ -278,8 +276,7 @@
 TEST(Dependencies, WaitForTheDurableEnd) {
   World w;
   ASSERT_TRUE(w.settle());
-  w.submit("n0", array_job("wk-1", 1, 6));
-  w.submit("n0", after(array_job("wk-2", 1, 6), {"wk-1"}));
+  submit_chain(w, {array_job("wk-1", 1, 6), array_job("wk-2", 1, 6)});
   ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
   w.net.set_rule([](const std::string&, const net::Call& c) {
     Fate f;
--- a/tests/standins/state_service.h
+++ b/tests/standins/state_service.h
@@ -30,7 +30,7 @@
 
   void handle(const net::Request& r, net::Answer answer) {
     expire();
-    if (over_limit()) {
+    if (requests_.exceeded(limit, 1, time_.now())) {
       ++refused;
       return answer({429, R"({"error":"too many requests"})", 0});
     }
@@ -115,15 +115,21 @@
     net::Answer answer;
   };
 
-  bool over_limit() {
-    if (limit == 0) return false;
-    const double seconds = static_cast<double>(time_.now() - counted_at_) / 1000.0;
-    counted_at_ = time_.now();
-    allowance_ = std::min<double>(limit, allowance_ + seconds * limit);
-    if (allowance_ < 1) return true;
-    allowance_ -= 1;
-    return false;
-  }
+  // So much a second, with bursts of a second's worth; 0: no limit.
+  struct Allowance {
+    double left = 0;
+    net::Ms counted_at = 0;
+
+    bool exceeded(int limit, double amount, net::Ms now) {
+      if (limit == 0) return false;
+      const double seconds = static_cast<double>(now - counted_at) / 1000.0;
+      counted_at = now;
+      left = std::min<double>(limit, left + seconds * limit);
+      if (left < amount) return true;
+      left -= amount;
+      return false;
+    }
+  };
 
   static std::string param(const std::string& query, const std::string& name) {
     std::size_t at = 0;
@@ -165,22 +171,12 @@
              return c.contains("v") && c.at("v").dump().size() > value_bytes;
            });
   }
-  bool over_write_limit(std::size_t changes) {
-    if (write_limit == 0) return false;
-    const double seconds = static_cast<double>(time_.now() - writes_counted_at_) / 1000.0;
-    writes_counted_at_ = time_.now();
-    write_allowance_ = std::min<double>(write_limit, write_allowance_ + seconds * write_limit);
-    if (write_allowance_ < static_cast<double>(changes)) return true;
-    write_allowance_ -= static_cast<double>(changes);
-    return false;
-  }
-
   net::Response txn(const wire::Json& o) {
     if (outsized(o.at("apply"))) {
       ++too_large;
       return {400, R"({"error":"too large"})", 0};
     }
-    if (over_write_limit(o.at("apply").size())) {
+    if (changes_.exceeded(write_limit, static_cast<double>(o.at("apply").size()), time_.now())) {
       ++refused;
       return {429, R"({"error":"too many changes"})", 0};
     }
@@ -276,10 +272,7 @@
   }
 
   net::Runtime& time_;
-  double allowance_ = 0;
-  net::Ms counted_at_ = 0;
-  double write_allowance_ = 0;
-  net::Ms writes_counted_at_ = 0;
+  Allowance requests_, changes_;
   std::uint64_t revision_ = 0, last_lease_ = 0, last_watch_ = 0;
   std::map<std::string, Entry> keys_;
   std::map<std::uint64_t, Lease> leases_;
--- a/tests/upgrade_test.cc
+++ b/tests/upgrade_test.cc
@@ -233,6 +233,25 @@
 
 class Rollout : public ::testing::Test {
  protected:
+  // An array of `tasks` has been at work for so long.
+  static bool begin_array(World& w, std::uint32_t tasks, Ms at_work) {
+    if (!w.settle()) return false;
+    w.submit("n0", wide_job("wk-1", tasks, 25));
+    const bool running = w.reaches("wk-1", "running", 30000);
+    w.time.run_for(at_work);
+    return running;
+  }
+  // What production left, on machines that are listed and that nobody hears.
+  static void leave_production_records(World& w) {
+    w.time.run_for(20);
+    w.cloud.machines.clear();
+    for (const auto& [key, value] : kProductionRecords) w.put(key, wire::Json::parse(value));
+    w.judge.jobs["wk-1"].spec = array_job("wk-1", 140, 9);
+    w.judge.jobs["wk-2"].spec = gang_job("wk-2", 3, 10);
+  }
+  static void leave_segments_in_use(World& w) {
+    w.put("cluster", {{"version", 1}, {"segment_tasks", 42}, {"chunk_tasks", 128}});
+  }
   static int segments(const World& w) {
     return static_cast<int>(w.state.count("work/") - chunks(w));
   }
@@ -303,10 +322,7 @@
 TEST_F(Rollout, EachStepFromChunksToSegmentsIsSafeToStopAfter) {
   for (int stop_after = 1; stop_after <= 5; ++stop_after) {
     World w(1, 8, kLargeRecords, {"n2"});
-    ASSERT_TRUE(w.settle());
-    w.submit("n0", wide_job("wk-1", 400, 25));
-    ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
-    w.time.run_for(40000);  // some are done, some at work
+    ASSERT_TRUE(begin_array(w, 400, 40000));  // some are done, some at work
     const std::string old = w.leader();
     int written = 0;
     w.net.set_rule([&](const std::string& from, const net::Call& c) {
@@ -335,13 +351,8 @@
 TEST_F(Rollout, RecoversWhatProductionLeft) {
   for (const bool segments_first : {false, true}) {
     World w(1, 10, kFalling, {"n0", "n1", "n2"});
-    w.time.run_for(20);
-    w.cloud.machines.clear();  // those of these names are listed, and heard by nobody
-    for (const auto& [key, value] : kProductionRecords) w.put(key, wire::Json::parse(value));
-    if (segments_first)
-      w.put("cluster", {{"version", 1}, {"segment_tasks", 42}, {"chunk_tasks", 128}});
-    w.judge.jobs["wk-1"].spec = array_job("wk-1", 140, 9);
-    w.judge.jobs["wk-2"].spec = gang_job("wk-2", 3, 10);
+    leave_production_records(w);
+    if (segments_first) leave_segments_in_use(w);
     for (std::uint32_t task = 0; task < 128; ++task) w.judge.done.insert({"wk-1", task});
     w.time.run_for(5000);
     ASSERT_FALSE(w.leader().empty());
@@ -361,10 +372,8 @@
 // counts, and no attempt of the chunk is waited for.
 TEST_F(Rollout, ASegmentCountsBeforeTheChunk) {
   World w(1, 10, kFalling);
-  w.time.run_for(20);
-  w.cloud.machines.clear();  // heard by nobody
-  for (const auto& [key, value] : kProductionRecords) w.put(key, wire::Json::parse(value));
-  w.put("cluster", {{"version", 1}, {"segment_tasks", 42}, {"chunk_tasks", 128}});
+  leave_production_records(w);
+  leave_segments_in_use(w);
   TaskRecord segment;
   segment.id = {Layout::segments, 3};
   segment.range = {126, 140};
@@ -373,8 +382,6 @@
   segment.job_tasks = 140;
   segment.finished.assign(14, true);
   w.put("work/wk-1/s3", leader::encode(segment));
-  w.judge.jobs["wk-1"].spec = array_job("wk-1", 140, 9);
-  w.judge.jobs["wk-2"].spec = gang_job("wk-2", 3, 10);
   for (std::uint32_t task = 0; task < 140; ++task) w.judge.done.insert({"wk-1", task});
   EXPECT_TRUE(w.reaches("wk-1", "done", 15000));
   w.time.run_for(3000);
@@ -387,10 +394,7 @@
 TEST_F(Rollout, LimitsFallWithoutNotice) {
   for (const Ms after : {0, 500, 3000, 15000}) {
     World w(1, 8, kLargeRecords, {"n2"});
-    ASSERT_TRUE(w.settle());
-    w.submit("n0", wide_job("wk-1", 400, 25));
-    ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
-    w.time.run_for(20000);
+    ASSERT_TRUE(begin_array(w, 400, 20000));
     w.upgrade("n2");
     w.time.run_for(after);
     w.apply_limits(kLargeRecords.next);
@@ -414,10 +418,7 @@
 TEST_F(Rollout, LimitsFallDuringARecoveryOrAnElection) {
   for (const Ms after : {100, 2500, 4500, 6000}) {
     World w(1, 8, kLargeRecords, {"n2"});
-    ASSERT_TRUE(w.settle());
-    w.submit("n0", wide_job("wk-1", 200, 25));
-    ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
-    w.time.run_for(20000);
+    ASSERT_TRUE(begin_array(w, 200, 20000));
     w.upgrade("n2");
     w.time.run_for(300);
     const std::string old = w.leader();
@@ -438,10 +439,7 @@
 TEST_F(Rollout, LimitsFallWhileAPeerIsSilent) {
   World w(1, 8, kLargeRecords);
   w.kill("n2");
-  ASSERT_TRUE(w.settle());
-  w.submit("n0", wide_job("wk-1", 400, 25));
-  ASSERT_TRUE(w.reaches("wk-1", "running", 30000));
-  w.time.run_for(20000);
+  ASSERT_TRUE(begin_array(w, 400, 20000));
   EXPECT_FALSE(w.state.has("cluster"));
   w.apply_limits(kLargeRecords.next);
   w.submit("n1", wide_job("wk-2", 60, 10));
