--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -44,9 +44,8 @@
 int main() {
   const char* trouble = std::getenv("TROUBLE");
   const bool disrupt = trouble == nullptr || std::string(trouble) != "0";
-  const char* folder = std::getenv("CASE_DIR");
   const char* seed = std::getenv("SEED");
-  World world(riga(), folder != nullptr ? folder : ".", seed != nullptr ? std::atoi(seed) : 1);
+  World world(riga(), seed != nullptr ? std::atoi(seed) : 1);
   world.cloud->lag_s = 5;
   world.cloud->capacity[{"sikspairnis", "left-bank", false}] = 8;
   world.cloud->capacity[{"udrs", "left-bank", false}] = 1;
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -618,13 +618,18 @@
 
 // ---- The whole ----
 
-World::World(Site what, std::string folder, unsigned seed)
-    : site(std::move(what)), http(loop, 400), random(seed), began_(0), folder_(std::move(folder)) {
+World::World(Site what, unsigned seed)
+    : site(std::move(what)), http(loop, 400), random(seed), began_(0) {
   ::signal(SIGPIPE, SIG_IGN);
   began_ = loop.now();
-  record_.open(folder_ + "/record.txt");
-  char pattern[] = "/tmp/seampass-review-XXXXXX";
-  temp_ = mkdtemp(pattern);
+  const char* record = std::getenv("RECORD");
+  record_.open(record != nullptr ? record : "record.txt");
+  const char* folder = std::getenv("TMPDIR");
+  temp_ = std::string(folder != nullptr ? folder : "/tmp") + "/seampass-review-XXXXXX";
+  if (mkdtemp(temp_.data()) == nullptr) {
+    std::cerr << "no temporary folder\n";
+    std::exit(2);
+  }
   const std::string cloud_at = "127.0.0.1:" + std::to_string(free_port());
   const std::string state_at = "127.0.0.1:" + std::to_string(free_port());
   for (int i = 0; i < site.controllers; ++i) {
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -220,7 +220,7 @@
 
 class World {
  public:
-  World(Site site, std::string folder, unsigned seed);
+  World(Site site, unsigned seed);
   ~World();
 
   Loop loop;
@@ -263,7 +263,7 @@
  private:
   void try_submit(const std::string& id, std::size_t node, Ms until, std::function<void(int)> done);
   Ms began_;
-  std::string folder_, temp_;
+  std::string temp_;
   std::ofstream record_;
 };
 
