Log which records a new leader reads of a job, and when a record is deleted

Cause: the log could not tell three explanations of a late start of a cancelled job apart: records left behind by the former leader, an assignment that was written after the final status, and a job that was reopened. A leader logged what it read as sums only, and the deletion of a task record was not logged. Change: two debug lines, `recovered_job job=J ended=B records=K attempts=A` and `record_deleted key=K revision=R`. Nothing else changes.

--- a/src/leader/audit_log.cc
+++ b/src/leader/audit_log.cc
@@ -151,10 +151,20 @@
   spdlog::debug("record_durable key={} revision={}", work_key(job, record), revision);
 }
 
+void record_deleted(const std::string& job, const RecordId& record, state::Version revision) {
+  if (!spdlog::should_log(spdlog::level::debug)) return;
+  spdlog::debug("record_deleted key={} revision={}", work_key(job, record), revision);
+}
+
 void final_status(const std::string& job, wire::Stage stage, state::Version revision) {
   spdlog::debug("final_status job={} stage={} revision={}", job, wire::stage_name(stage), revision);
 }
 
+void recovered_job(const std::string& job, const RecoveredJob& recovered) {
+  spdlog::debug("recovered_job job={} ended={} records={} attempts={}", job, recovered.ended,
+                recovered.records, recovered.attempts);
+}
+
 void ready(const std::string& job, const std::string& last_dependency) {
   spdlog::debug("ready job={} last_dependency={}", job, last_dependency);
 }
--- a/src/leader/audit_log.h
+++ b/src/leader/audit_log.h
@@ -47,6 +47,13 @@
 void recovery_ended(std::uint64_t epoch, state::Version revision, std::size_t open_jobs,
                     std::size_t ended_jobs, std::size_t attempts, net::Ms duration);
 
+// The state of a job's records that recovery read.
+struct RecoveredJob {
+  bool ended = false;        // the job was not among the open jobs
+  std::size_t records = 0;   // task records of the job
+  std::size_t attempts = 0;  // attempts that these records contain
+};
+
 // Counters of the requests between this controller and the state service, and measures of this
 // controller's load.
 struct Load {
@@ -70,7 +77,10 @@
 // Events of single jobs, logged at level debug.
 void queued(const wire::Job& job);
 void record_durable(const std::string& job, const RecordId& record, state::Version revision);
+void record_deleted(const std::string& job, const RecordId& record, state::Version revision);
 void final_status(const std::string& job, wire::Stage stage, state::Version revision);
+// Logs which attempts of a job the task records contained that a new leader has read.
+void recovered_job(const std::string& job, const RecoveredJob& recovered);
 void ready(const std::string& job, const std::string& last_dependency);
 // Logs that a job is cancelled because a job that it depends on is cancelled.
 void cancelled_with_dependency(const std::string& job);
--- a/src/leader/records/record_store.cc
+++ b/src/leader/records/record_store.cc
@@ -223,7 +223,8 @@
     RecordState& record = writes.records[id];
     record.sending = false;
     record.version = exists_after ? version : 0;
-    if (exists_after) audit::record_durable(job, id, version);
+    const auto log_change = exists_after ? audit::record_durable : audit::record_deleted;
+    log_change(job, id, version);
     // The record changed again while this transaction was in flight. Its callbacks may wait for the
     // newer content, so they run after the next write.
     if (record.dirty) continue;
--- a/src/leader/recovery/recovery.cc
+++ b/src/leader/recovery/recovery.cc
@@ -111,6 +111,7 @@
       if (task < job.spec.tasks) covered[task] = true;
   });
   std::for_each(first_chunk, records.end(), apply);
+  audit::recovered_job(job.spec.id, {job.ended(), records.size(), job.attempts.size()});
 }
 
 // Adds a job that has task records but is not open: the job has ended, but some of its attempts
--- a/tests/audit_log_test.cc
+++ b/tests/audit_log_test.cc
@@ -71,11 +71,13 @@
             "debug ready job=wk-2 last_dependency=wk-1", "debug record_durable key=work/wk-2/",
             "debug start job=wk-2 task=0 attempt=1 machine=m-",
             "debug answer job=wk-2 stage=running basis=leader",
-            "info elected epoch=", "info recovered open_jobs=1 ended_jobs=0 attempts=1 epoch=",
+            "info elected epoch=", "debug recovered_job job=wk-2 ended=false records=1 attempts=1",
+            "info recovered open_jobs=1 ended_jobs=0 attempts=1 epoch=",
             "debug stop job=wk-2 task=0 attempt=1 machine=m-",
             "debug absent job=wk-2 task=0 attempt=1 machine=m-",
             "debug final_status job=wk-2 stage=withdrawn revision=",
-            "debug answer job=wk-2 stage=withdrawn basis=leader"});
+            "debug answer job=wk-2 stage=withdrawn basis=leader",
+            "debug record_deleted key=work/wk-2/"});
   cluster.expect_no_violations();
 }
 
