Start no task of an ended job, and clear all records before a cancellation is confirmed

Cause: a record that the former leader had left behind was taken for the truth. The transaction of a final status held only as many task records as fitted beside it; the others still assigned attempts that were released as never sent. They were to be cleared with the lowest urgency, which waits without a bound while more urgent writes use up the budget. The next leader added these attempts as attempts to be stopped and, since no report listed them, started and stopped them in one message. No record of the job is newer than its final status (no late assignment), and the next leader never queued it (not reopened). Change: the final status of a cancelled job is in the last transaction of its records, and those before it have its urgency, so nothing is left that assigns a task when the user is told, whichever version leads next. HeartbeatHandler sends no start of a job that has ended, for what older versions left; an attempt of such a job that a heartbeat does not list is inspected instead. `done` is written first as before: its tasks exit at once wherever they are started. The fake worker starts a task at once if its image is on the machine, as the protocol says; before, the stop behind the start always came first and hid the fault.

--- a/src/leader/attempts/attempt_tracker.cc
+++ b/src/leader/attempts/attempt_tracker.cc
@@ -76,7 +76,10 @@
   for (const auto& [task, attempt] : machine.attempts) {
     if (reported.contains(task)) continue;
     const bool incarnation_over = attempt->incarnation != machine.incarnation;
-    const bool disappeared = source == ReportSource::heartbeat && attempt->reported;
+    // Starts of a job that has ended are never sent, so such an attempt need not have been listed
+    // before: it is in a record that a former leader left behind.
+    const bool expected = attempt->reported || attempt->job->ended();
+    const bool disappeared = source == ReportSource::heartbeat && expected;
     attempt->missing = attempt->missing || incarnation_over || disappeared;
     any_missing = any_missing || attempt->missing;
   }
--- a/src/leader/attempts/attempt_tracker.h
+++ b/src/leader/attempts/attempt_tracker.h
@@ -57,8 +57,9 @@
 
   // Marks as missing the attempts on this machine that a report does not list; returns true if any
   // attempt is missing now. An unlisted attempt is marked if it belongs to another incarnation than
-  // the machine's present one, or if an earlier report listed it and the source is a heartbeat. The
-  // reply to a command alone does not suffice, since a start may be in flight at the same time.
+  // the machine's present one, or if the source is a heartbeat and either an earlier report listed
+  // the attempt or its job has ended. The reply to a command alone does not suffice, since a start
+  // may be in flight at the same time.
   [[nodiscard]] static bool mark_missing(Machine& machine, const std::set<TaskId>& reported,
                                          ReportSource source);
   // The missing attempts whose absence could be proven by an inspection that is sent now.
--- a/src/leader/records/write_batch.h
+++ b/src/leader/records/write_batch.h
@@ -39,15 +39,20 @@
  public:
   WriteBatchBuilder(const std::string& job, std::uint64_t epoch, const config::StateLimits& limits);
 
-  // Adds the pending final status, then the dirty records in the order of their ids, until the
-  // batch is full. Marks the added records as `sending` and no longer dirty. The batch has no
-  // changes if there is neither a pending final status nor a dirty record.
+  // Adds the pending final status and the dirty records in the order of their ids, until the batch
+  // is full. Marks the added records as `sending` and no longer dirty. The final status `done` is
+  // in the first batch. That of a cancelled job is in the last one, with the last dirty records or
+  // after them. The batch has no changes if there is neither a pending final status nor a dirty
+  // record.
   [[nodiscard]] WriteBatch build(JobWrites& writes, const RenderRecord& render);
 
  private:
   enum class AddResult { added, batch_full };
 
   void add_final_status(const PendingFinalStatus& status);
+  [[nodiscard]] bool final_status_fits() const;
+  // Returns false if the batch is full before all dirty records are added.
+  [[nodiscard]] bool add_dirty_records(JobWrites& writes, const RenderRecord& render);
   [[nodiscard]] AddResult add_record(const RecordId& id, const RecordState& record,
                                      std::optional<wire::Json> value);
   [[nodiscard]] bool all_operations_used() const;
--- a/src/leader/workers/heartbeat_handler.cc
+++ b/src/leader/workers/heartbeat_handler.cc
@@ -141,12 +141,15 @@
 
 // Appends the starts of attempts that no report has listed yet. Starts in the reply to a
 // heartbeat need no guard against late copies: the worker discards a reply that is older than a few
-// seconds.
+// seconds. No attempt of a job that has ended is started, not even to be stopped at once: its user
+// may have been told of the cancellation. Such an attempt is inspected instead
+// (AttemptTracker::mark_missing).
 void HeartbeatHandler::append_starts(Machine& machine, const std::set<TaskId>& reported,
                                      std::vector<wire::Command>& commands) const {
   for (const auto& [task, attempt] : machine.attempts) {
     if (reported.contains(task) || attempt->reported || !attempt->durable) continue;
     if (attempt->starts_in_flight > 0 || attempt->incarnation != machine.incarnation) continue;
+    if (attempt->job->ended()) continue;
     if (!attempt->job->active() && !attempt->stop_requested) continue;
     attempt->start_sent_at = context_.runtime.now();
     audit::start(attempt->id(), machine.name, machine.incarnation, context_.election.epoch(),
--- a/tests/attempt_tracker_test.cc
+++ b/tests/attempt_tracker_test.cc
@@ -140,6 +140,19 @@
   EXPECT_TRUE(AttemptTracker::mark_missing(machine, {}, ReportSource::command_reply));
 }
 
+// A former leader may leave a record that names attempts of a job which has ended. No leader starts
+// them, so no report ever lists them.
+TEST_F(AttemptTrackerTest, AnAttemptOfAnEndedJobIsMissingOnceAHeartbeatDoesNotListIt) {
+  JobRecord record = job("wk-1", "red", 1);
+  record.advance_to(Lifecycle::ended);
+  Machine machine;
+  machine.incarnation = 4;
+  tracker.add(record, 0, 1, machine, 4);
+  EXPECT_FALSE(AttemptTracker::mark_missing(machine, {}, ReportSource::command_reply));
+  EXPECT_FALSE(AttemptTracker::mark_missing(machine, {{"wk-1", 0}}, ReportSource::heartbeat));
+  EXPECT_TRUE(AttemptTracker::mark_missing(machine, {}, ReportSource::heartbeat));
+}
+
 TEST_F(AttemptTrackerTest, AnAttemptIsNotInspectedWhileItsStartMayBeInFlight) {
   JobRecord record = job("wk-1", "red", 1);
   Machine machine;
--- /dev/null
+++ b/tests/cancelled_job_records_test.cc
@@ -0,0 +1,124 @@
+// Tests of the task records of jobs that have ended. A record may outlive its job, and it may still
+// assign tasks that were never started. No leader may start these tasks, and no such assignment may
+// be left once a user was told that the job is cancelled. The tests run in simulated time against
+// fakes of the state service, the cloud and the workers.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "fakes/calls.h"
+#include "fakes/rolling_upgrade.h"
+#include "fakes/simulated_cluster.h"
+#include "leader/records/keys.h"
+#include "leader/records/task_record.h"
+
+namespace seampass::fakes {
+namespace {
+
+using leader::Layout;
+using leader::RecordId;
+using leader::TaskRecord;
+
+constexpr const char* kMachine = "m-000001";
+
+// A job whose tasks are so small that one machine runs all of them.
+wire::Job small_task_job(const std::string& id, std::uint32_t tasks, wire::JobKind kind) {
+  wire::Job job = wide_job(id, tasks, 400);
+  job.kind = kind;
+  job.cpus = 0.05;
+  job.memory_gb = 0.1;
+  return job;
+}
+
+// Rents one machine, which runs more tasks than the number of starts that may be sent to it by
+// commands of their own. Later starts travel in the answers to its heartbeats.
+void fill_replayable_starts(SimulatedCluster& cluster) {
+  cluster.cloud.capacity = 1;
+  ASSERT_TRUE(cluster.wait_for_leader());
+  ASSERT_TRUE(cluster.submit_and_run(small_task_job("wk-900", 10, wire::JobKind::array)));
+  cluster.time.run_for(10000);
+}
+
+// The record of a former leader that assigns two tasks of wk-1 to the machine.
+std::string leave_assignments(SimulatedCluster& cluster, Layout layout) {
+  TaskRecord record;
+  record.id = {layout, 0};
+  record.range = {0, 2};
+  record.last_attempt = 1;
+  record.team = "blue";
+  record.request = {1, 1, 1};
+  record.job_tasks = 2;
+  record.assignments = {{0, 1, kMachine, 1}, {1, 1, kMachine, 1}};
+  record.finished.assign(2, false);
+  const std::string key = leader::work_key("wk-1", record.id);
+  cluster.put(key, leader::encode(record));
+  return key;
+}
+
+int starts_of(const SimulatedCluster& cluster, const std::string& job) {
+  int count = 0;
+  for (const auto& [task, starts] : cluster.checker.starts) count += task.job == job ? starts : 0;
+  return count;
+}
+
+bool assigns_tasks(const SimulatedCluster& cluster, const std::string& job) {
+  return cluster.state.dump("work/" + job + "/").find("\"tasks\":[[") != std::string::npos;
+}
+
+// Guards against ran_cancelled: a former leader left a record that assigns tasks of a job which has
+// ended. A new leader must not start them, not even to stop them at once, and must find out by
+// itself that they are absent.
+TEST(CancelledJobRecords, NewLeaderStartsNoTaskThatIsLeftInARecord) {
+  for (const Layout layout : {Layout::chunks, Layout::segments}) {
+    SimulatedCluster cluster(1, 1);
+    ASSERT_NO_FATAL_FAILURE(fill_replayable_starts(cluster));
+    cluster.kill_all();
+    cluster.checker.jobs["wk-1"].spec = array_job("wk-1", 2, 100);
+    cluster.put("ends/wk-1", {{"stage", "withdrawn"}, {"done", 0}});
+    const std::string key = leave_assignments(cluster, layout);
+    cluster.start_all();
+    ASSERT_TRUE(cluster.wait_for_leader());
+    cluster.time.run_for(10000);  // the machine has sent several heartbeats
+    EXPECT_EQ(starts_of(cluster, "wk-1"), 0);
+    EXPECT_FALSE(cluster.state.has(key));
+    EXPECT_EQ(cluster.running_tasks("wk-900"), 10);
+    cluster.expect_no_violations();
+  }
+}
+
+// Guards against ran_cancelled: a job has more task records than fit into the transaction of its
+// final status, and its tasks wait for the next heartbeat. When its user is told of the
+// cancellation, no record may assign a task any more, and the leader may end at this moment.
+TEST(CancelledJobRecords, NoRecordAssignsATaskOnceTheCancellationIsConfirmed) {
+  for (const wire::JobKind kind : {wire::JobKind::array, wire::JobKind::gang}) {
+    SimulatedCluster cluster(1, 1, kFallingLimits);
+    ASSERT_NO_FATAL_FAILURE(fill_replayable_starts(cluster));
+    cluster.apply_limits(kFallingLimits.next);
+    ASSERT_TRUE(cluster.submit("n0", small_task_job("wk-1", 96, kind)).accepted());
+    for (int i = 0; i < 3000 && !assigns_tasks(cluster, "wk-1"); ++i) cluster.time.run_for(1);
+    cluster.time.run_for(300);
+    ASSERT_EQ(cluster.state.count("work/wk-1/"), 3u);
+    const std::string former_leader = cluster.leader();
+    // Nothing is written any more after the final status.
+    bool final_status_sent = false;
+    cluster.net.set_rule([&](const std::string& from, const net::Call& call) {
+      Delivery delivery;
+      delivery.drop = final_status_sent && from == former_leader && is_to_store(call);
+      final_status_sent = final_status_sent || writes_final_status(call);
+      return delivery;
+    });
+    ASSERT_EQ(cluster.cancel_until_final(former_leader, "wk-1", 20000).stage(), "withdrawn");
+    EXPECT_FALSE(assigns_tasks(cluster, "wk-1")) << cluster.state.dump("work/wk-1/");
+    const int starts_when_confirmed = starts_of(cluster, "wk-1");
+    cluster.kill(former_leader);
+    cluster.net.set_rule({});
+    cluster.time.run_for(30000);
+    EXPECT_FALSE(cluster.leader().empty());
+    EXPECT_EQ(starts_of(cluster, "wk-1"), starts_when_confirmed);
+    EXPECT_EQ(cluster.state.count("work/wk-1/"), 0u);
+    cluster.expect_no_violations();
+  }
+}
+
+}  // namespace
+}  // namespace seampass::fakes
--- a/tests/fakes/worker.cc
+++ b/tests/fakes/worker.cc
@@ -159,6 +159,10 @@
   Task& task = tasks_[key];
   task.attempt = attempt;
   task.run_id = ++last_run_id_;
+  // A task whose image is on the machine starts at once, so a stop later in the same message comes
+  // too late to prevent the start.
+  if (images_.contains(checker_.jobs[key.job].spec.image))
+    return on_image_fetched(key, task.run_id);
   after(timing_.image_fetch_time,
         [this, key, run_id = task.run_id] { on_image_fetched(key, run_id); });
 }
@@ -166,6 +170,7 @@
 void Worker::on_image_fetched(const TaskKey& key, std::uint64_t run_id) {
   Task* task = find(key, run_id);
   if (task == nullptr) return;
+  images_.insert(checker_.jobs[key.job].spec.image);
   task->started = true;
   checker_.task_started(key, name_, now());
   if (checker_.finished.contains(key)) return exit(key, wire::ExitCause::done);
--- a/tests/fakes/worker.h
+++ b/tests/fakes/worker.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -100,6 +101,7 @@
   Ms lease_start_ = 0;  // when the last heartbeat that was answered was sent
   Ms hangs_until_ = 0;
   std::map<TaskKey, Task> tasks_;
+  std::set<std::string> images_;  // the images that the machine has fetched
   std::optional<wire::ExitCause> next_failure_;
 };
 
--- a/tests/write_batch_test.cc
+++ b/tests/write_batch_test.cc
@@ -86,6 +86,39 @@
   EXPECT_TRUE(writes.records.rbegin()->second.dirty);
 }
 
+// Guards against ran_cancelled: a record that is left behind when the final status is durable may
+// assign tasks of the cancelled job to a machine.
+TEST_F(WriteBatchTest, FinalStatusOfACancelledJobIsInTheLastBatch) {
+  writes.final_status_state = FinalStatusState::pending;
+  writes.final_status.open_version = 3;
+  writes.final_status.stage = wire::Stage::cancelled;
+  for (std::uint32_t chunk = 0; chunk < 4; ++chunk) make_dirty(chunk, 5, state::Urgency::progress);
+  const WriteBatch first = build();
+  EXPECT_FALSE(first.has_final_status);
+  EXPECT_EQ(first.urgency, state::Urgency::final_status);
+  EXPECT_EQ(changes(first),
+            (Entries{"write work/wk-1/0", "write work/wk-1/1", "write work/wk-1/2"}));
+  const WriteBatch last = build();
+  EXPECT_TRUE(last.has_final_status);
+  EXPECT_EQ(conditions(last), (Entries{"leader@7", "ends/wk-1@0", "open/wk-1@3", "work/wk-1/3@5"}));
+  EXPECT_EQ(changes(last), (Entries{"write ends/wk-1", "delete open/wk-1", "write work/wk-1/3"}));
+}
+
+TEST_F(WriteBatchTest, FinalStatusOfACancelledJobWaitsWhereItDoesNotFitBesideTheRecords) {
+  writes.final_status_state = FinalStatusState::pending;
+  writes.final_status.open_version = 3;
+  writes.final_status.stage = wire::Stage::cancelled;
+  make_dirty(0, 5, state::Urgency::progress);
+  make_dirty(1, 0, state::Urgency::progress);
+  const WriteBatch first = build();
+  EXPECT_EQ(conditions(first),
+            (Entries{"leader@7", "ends/wk-1@0", "work/wk-1/0@5", "work/wk-1/1@0"}));
+  EXPECT_EQ(changes(first), (Entries{"write work/wk-1/0", "write work/wk-1/1"}));
+  const WriteBatch last = build();
+  EXPECT_EQ(conditions(last), (Entries{"leader@7", "ends/wk-1@0", "open/wk-1@3"}));
+  EXPECT_EQ(changes(last), (Entries{"write ends/wk-1", "delete open/wk-1"}));
+}
+
 TEST_F(WriteBatchTest, LimitsItsSizeAndReportsOversizedValues) {
   rendered = wire::Json{{"text", std::string(30U << 10, 'x')}};
   for (std::uint32_t chunk = 0; chunk < 2; ++chunk) make_dirty(chunk, 5, state::Urgency::progress);
