Keep the quota of attempts that were never sent until no record assigns them

An attempt whose start was never sent was released at once, in this leader's memory alone. Its quota and room could go to another job, whose assignment is more urgent than the write that clears the record. If the leader ended between the two, the next one started both jobs. Change: such an attempt is revoked. Its record is written without it, with the urgency of an assignment, or of a final status if its job is cancelled, and it is released once that is durable. A cancellation waits for it as for any other attempt. No start is sent for a revoked attempt. LeaderPartsTest.StopAllReleasesAttemptsWhoseStartWasNeverSent demanded the release at once, which is the fault. It now demands that the attempt stays until the record without it is stored, checks that record, and keeps all its other assertions.

--- a/src/leader/attempts/attempt_lifecycle.cc
+++ b/src/leader/attempts/attempt_lifecycle.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -43,19 +44,47 @@
 void AttemptLifecycle::stop_all(JobRecord& job, double termination_grace_s,
                                 audit::StopReason reason, StopScope scope) {
   std::vector<TaskAttempt*> sent;
-  std::vector<TaskAttempt*> unsent;
+  std::vector<AttemptId> unsent;
   for (auto& [task, attempt] : job.attempts) {
     if (attempt.stop_requested && scope == StopScope::not_stopping_yet) continue;
     tracker_.mark_for_stop(attempt, termination_grace_s, reason);
     attempt.termination_grace_s = termination_grace_s;
-    (attempt.start_sent ? sent : unsent).push_back(&attempt);
+    if (attempt.start_sent)
+      sent.push_back(&attempt);
+    else
+      unsent.push_back(attempt.id());
   }
   commands_.send_stops(sent);
-  // No start of these attempts was ever sent, so they are proven absent.
-  for (TaskAttempt* attempt : unsent) {
-    audit::absent(attempt->id(), attempt->machine->name, audit::AbsenceProof::never_sent);
-    release(*attempt);
+  revoke(job, unsent);
+}
+
+// Only this leader knows that no start of these attempts was sent. The next leader would start what
+// the records assign. So the attempts keep their resources, and a cancellation is not confirmed,
+// until no stored record contains them.
+void AttemptLifecycle::revoke(JobRecord& job, const std::vector<AttemptId>& unsent) {
+  std::map<RecordId, std::vector<AttemptId>> by_record;
+  for (const AttemptId& id : unsent) {
+    job.attempts.at(id.task).revoked = true;
+    by_record[task_records_.record_of(id.task)].push_back(id);
   }
+  const std::string job_id = job.spec.id;
+  const Urgency urgency = job.active() ? Urgency::assignment : Urgency::final_status;
+  for (const auto& [record, ids] : by_record)
+    task_records_.record_changed(job_id, ids.front().task, urgency, [this, job_id, revoked = ids] {
+      on_revocation_durable(job_id, revoked);
+    });
+}
+
+void AttemptLifecycle::on_revocation_durable(const std::string& job,
+                                             const std::vector<AttemptId>& revoked) {
+  for (const AttemptId& id : revoked) {
+    TaskAttempt* attempt = jobs_.find_attempt(id);
+    if (!attempt) continue;
+    audit::absent(id, attempt->machine->name, audit::AbsenceProof::never_sent);
+    tracker_.remove(*attempt);
+  }
+  hooks_.erase_if_settled(job);
+  hooks_.request_scheduling_pass();
 }
 
 void AttemptLifecycle::stop_incomplete_gang(JobRecord& job) {
--- a/src/leader/attempts/attempt_lifecycle.h
+++ b/src/leader/attempts/attempt_lifecycle.h
@@ -13,6 +13,7 @@
 #include "leader/attempts/attempt_tracker.h"
 #include "leader/audit_log.h"
 #include "leader/fleet/fleet.h"
+#include "leader/ids.h"
 #include "leader/jobs/job_table.h"
 #include "leader/leader_context.h"
 #include "leader/records/task_record_writer.h"
@@ -44,7 +45,7 @@
   // progress. CommandDispatcher::send_stops sends the stop command to the worker.
   void stop_to_checkpoint(TaskAttempt& attempt, audit::StopReason reason);
   // Stops the job's attempts and sends the stop commands to the workers. Attempts whose start was
-  // never sent are released at once.
+  // never sent are revoked.
   void stop_all(JobRecord& job, double termination_grace_s, audit::StopReason reason,
                 StopScope scope = StopScope::not_stopping_yet);
   // Stops the remaining attempts of a gang. The caller has released one of the gang's attempts, and
@@ -60,6 +61,10 @@
 
  private:
   void release(TaskAttempt& attempt);
+  // Writes the task records without these attempts, whose start was never sent. The attempts are
+  // released once the records are durable.
+  void revoke(JobRecord& job, const std::vector<AttemptId>& unsent);
+  void on_revocation_durable(const std::string& job, const std::vector<AttemptId>& revoked);
   void on_task_done(TaskAttempt& attempt);
   void record_failure(JobRecord& job, Machine& machine);
   void delay_retry(JobRecord& job, Machine& machine, wire::ExitCause cause);
--- a/src/leader/jobs/job_record.h
+++ b/src/leader/jobs/job_record.h
@@ -34,8 +34,10 @@
   Machine* machine = nullptr;
   std::uint64_t incarnation = 0;
   bool durable = false;  // the task record that contains the attempt is durable: it may be started
-  bool start_sent = false;   // a start may have reached the worker
-  bool reported = false;     // a report of the worker has listed the attempt
+  bool start_sent = false;  // a start may have reached the worker
+  bool reported = false;    // a report of the worker has listed the attempt
+  // No start was sent, and none will be. The task records are written without the attempt.
+  bool revoked = false;
   bool missing = false;      // a report did not list it; its absence is not proven yet
   int starts_in_flight = 0;  // starts sent to /commands whose outcome is not known yet
   net::Ms start_sent_at = 0;
--- a/src/leader/records/task_record_writer.cc
+++ b/src/leader/records/task_record_writer.cc
@@ -59,6 +59,7 @@
   const auto end = job->attempts.lower_bound(record.range.end);
   for (auto entry = job->attempts.lower_bound(record.range.first); entry != end; ++entry) {
     const auto& [task, attempt] = *entry;
+    if (attempt.revoked) continue;
     record.assignments.push_back(
         {task, attempt.number, attempt.machine->name, attempt.incarnation});
   }
--- a/src/leader/workers/heartbeat_handler.cc
+++ b/src/leader/workers/heartbeat_handler.cc
@@ -149,7 +149,7 @@
   for (const auto& [task, attempt] : machine.attempts) {
     if (reported.contains(task) || attempt->reported || !attempt->durable) continue;
     if (attempt->starts_in_flight > 0 || attempt->incarnation != machine.incarnation) continue;
-    if (attempt->job->ended()) continue;
+    if (attempt->job->ended() || attempt->revoked) continue;
     if (!attempt->job->active() && !attempt->stop_requested) continue;
     attempt->start_sent_at = context_.runtime.now();
     audit::start(attempt->id(), machine.name, machine.incarnation, context_.election.epoch(),
--- a/tests/cancelled_job_records_test.cc
+++ b/tests/cancelled_job_records_test.cc
@@ -120,5 +120,86 @@
   }
 }
 
+// Guards against exceeding a quota: the tasks of a cancelled job were never started, and the
+// transaction that clears its records is late. Their quota may be given to another job only once no
+// record assigns them, because the next leader may start what the records assign.
+TEST(CancelledJobRecords, QuotaOfUnsentTasksIsFreedOnlyOnceNoRecordAssignsThem) {
+  constexpr int kMachines = 16;
+  SimulatedCluster cluster(1, kMachines);
+  cluster.cloud.capacity = kMachines;
+  ASSERT_TRUE(cluster.wait_for_leader());
+  // Eight tasks on each machine: all further starts are sent in the answers to heartbeats.
+  wire::Job filler = wide_job("wk-900", 8 * kMachines, 400);
+  filler.cpus = 0.9;
+  ASSERT_TRUE(cluster.submit_and_run(filler));
+  while (cluster.running_tasks("wk-900") < 8 * kMachines) cluster.time.run_for(100);
+  wire::Job job = array_job("wk-1", 16, 300);  // uses the whole quota, and all GPUs of its zone
+  job.cpus = 0.3;
+  job.memory_gb = 1;
+  job.zone = "a";
+  cluster.submit("n0", job);
+  job.id = "wk-2";
+  job.zone = "b";
+  cluster.submit("n0", job);
+  for (int i = 0; i < 3000 && !assigns_tasks(cluster, "wk-1"); ++i) cluster.time.run_for(1);
+  const std::string former_leader = cluster.leader();
+  cluster.net.set_rule([&](const std::string& from, const net::Call& call) {
+    Delivery delivery;
+    const bool of_cancelled_job = call.body.find("work/wk-1/") != std::string::npos;
+    if (from == former_leader && is_transaction(call) && of_cancelled_job)
+      delivery.delay_without_answer = 60000;
+    return delivery;
+  });
+  cluster.cancel_without_waiting(former_leader, "wk-1");
+  cluster.time.run_for(1500);
+  cluster.kill(former_leader);
+  cluster.net.set_rule({});
+  cluster.time.run_for(60000);
+  cluster.expect_no_violations();
+}
+
+// A cancellation waits for the writes that clear its records. Those of a job with many records must
+// not delay its answer beyond the time in which the tasks of a cancelled job have to be gone.
+TEST(CancelledJobRecords, CancellationOfAJobWithManyRecordsIsConfirmedWithinCancelTime) {
+  constexpr Ms kCancelTime = 40000;  // cancel_s of the settings
+  SimulatedCluster cluster(1, 1, kFallingLimits);
+  ASSERT_NO_FATAL_FAILURE(fill_replayable_starts(cluster));
+  cluster.apply_limits(kFallingLimits.next);
+  wire::Job job = small_task_job("wk-1", 1000, wire::JobKind::array);
+  job.cpus = 0.005;
+  job.memory_gb = 0.01;
+  ASSERT_TRUE(cluster.submit("n0", job).accepted());
+  while (cluster.state.count("work/wk-1/") < 24) cluster.time.run_for(1);
+  EXPECT_EQ(cluster.cancel_until_final(cluster.leader(), "wk-1", kCancelTime).stage(), "withdrawn");
+  EXPECT_FALSE(assigns_tasks(cluster, "wk-1"));
+  cluster.time.run_for(45000);
+  cluster.expect_no_violations();
+}
+
+// One task of a gang fails while another waits for the next heartbeat to be started. The gang must
+// start again as a whole.
+TEST(CancelledJobRecords, GangStartsAgainAfterAnUnsentTaskWasRevoked) {
+  SimulatedCluster cluster(1, 2);
+  cluster.cloud.capacity = 2;
+  ASSERT_TRUE(cluster.wait_for_leader());
+  wire::Job filler = wide_job("wk-900", 8, 400);  // all further starts go with heartbeats
+  filler.cpus = 0.5;
+  filler.zone = "a";
+  ASSERT_TRUE(cluster.submit_and_run(filler));
+  filler.id = "wk-901";
+  filler.tasks = 1;
+  filler.zone = "b";
+  ASSERT_TRUE(cluster.submit_and_run(filler));
+  const std::string other = cluster.checker.running_on.at({"wk-901", 0});
+  cluster.cloud.machines.at(other)->fail_next(wire::ExitCause::error);
+  wire::Job gang = gang_job("wk-1", 2, 20);
+  gang.cpus = 4;  // one task fits on each machine
+  gang.one_zone = false;
+  cluster.submit("n0", gang);
+  EXPECT_TRUE(cluster.reaches("wk-1", "running", 90000));
+  EXPECT_TRUE(cluster.reaches("wk-1", "done", 90000));
+  cluster.expect_no_violations();
+}
+
 }  // namespace
 }  // namespace seampass::fakes
--- a/tests/leader_parts_test.cc
+++ b/tests/leader_parts_test.cc
@@ -4,6 +4,7 @@
 
 #include "cloud/client.h"
 #include "fakes/sim_net.h"
+#include "fakes/state_service.h"
 #include "leader/attempts/absence_verifier.h"
 #include "leader/workers/heartbeat_reconciler.h"
 
@@ -130,12 +131,25 @@
       context, {jobs, fleet, tracker, writer, attempts, absence}, {[](JobRecord&) {}, [] {}}};
 };
 
+// Such an attempt keeps its resources until its task record is durable without it.
 TEST_F(LeaderPartsTest, StopAllReleasesAttemptsWhoseStartWasNeverSent) {
+  fakes::StateService service(time);
+  net.serve("state:1", [&service](const net::Request& request, net::Answer answer) {
+    service.handle(request, std::move(answer));
+  });
+  service.handle({"POST", "/txn", R"({"if":[],"apply":[{"write":"leader","v":{}}]})"},
+                 [](const net::Response&) {});
+  records.start_term(1);
   JobRecord& job = jobs.add(job_of("wk-1", wire::JobKind::array, 2));
   start(job, 0, "m-1");
   start(job, 1, "m-1").start_sent = false;
   attempts.stop_all(job, 5, audit::StopReason::job_over);
+  ASSERT_EQ(job.attempts.size(), 2u);
+  EXPECT_TRUE(job.attempts.at(1).revoked);
+  time.run_for(100);
   ASSERT_EQ(job.attempts.size(), 1u);
+  EXPECT_NE(service.dump("work/wk-1/").find(R"("tasks":[[0,)"), std::string::npos);
+  EXPECT_EQ(service.dump("work/wk-1/").find("[1,"), std::string::npos);
   EXPECT_TRUE(job.attempts.at(0).stop_requested);
   attempts.stop_all(job, 0, audit::StopReason::job_over);
   EXPECT_EQ(job.attempts.at(0).termination_grace_s, 5);
