Test that a cancellation during an upgrade leaves no assignment in either layout

In an upgrade with falling limits a cancelled job has a chunk to delete and segments to write, and they too are more changes than fit beside the final status. Change: a test of that case. No source changes.

--- a/tests/cancelled_job_records_test.cc
+++ b/tests/cancelled_job_records_test.cc
@@ -158,6 +158,36 @@
   cluster.expect_no_violations();
 }
 
+// The same during an upgrade, when the chunks of the job are replaced by segments and the limits of
+// the state service have fallen: neither layout may assign a task once the user is told.
+TEST(CancelledJobRecords, NoRecordAssignsATaskAfterACancellationDuringAnUpgrade) {
+  SimulatedCluster cluster(1, 1, kFallingLimits, {"n2"});
+  ASSERT_NO_FATAL_FAILURE(fill_replayable_starts(cluster));
+  ASSERT_TRUE(cluster.submit("n0", small_task_job("wk-1", 96, wire::JobKind::array)).accepted());
+  while (cluster.running_tasks("wk-1") < 96) cluster.time.run_for(100);
+  ASSERT_TRUE(cluster.state.has("work/wk-1/0"));  // a chunk
+  cluster.upgrade("n2");
+  while (!cluster.state.has("cluster")) cluster.time.run_for(100);
+  cluster.apply_limits(kFallingLimits.next);
+  const std::string former_leader = cluster.leader();
+  bool final_status_sent = false;
+  cluster.net.set_rule([&](const std::string& from, const net::Call& call) {
+    Delivery delivery;
+    delivery.drop = final_status_sent && from == former_leader && is_to_store(call);
+    final_status_sent = final_status_sent || writes_final_status(call);
+    return delivery;
+  });
+  ASSERT_EQ(cluster.cancel_until_final(former_leader, "wk-1", 20000).stage(), "withdrawn");
+  EXPECT_FALSE(assigns_tasks(cluster, "wk-1")) << cluster.state.dump("work/wk-1/");
+  const int starts_when_confirmed = starts_of(cluster, "wk-1");
+  cluster.kill(former_leader);
+  cluster.net.set_rule({});
+  cluster.time.run_for(30000);
+  EXPECT_EQ(starts_of(cluster, "wk-1"), starts_when_confirmed);
+  EXPECT_EQ(cluster.state.count("work/wk-1/"), 0u);
+  cluster.expect_no_violations();
+}
+
 // A cancellation waits for the writes that clear its records. Those of a job with many records must
 // not delay its answer beyond the time in which the tasks of a cancelled job have to be gone.
 TEST(CancelledJobRecords, CancellationOfAJobWithManyRecordsIsConfirmedWithinCancelTime) {
