Cancelled-record tests share one scenario and wait with a bound

Cause: two tests of CancelledJobRecords held the same lines, and some waited in loops without an end. Change: confirm_cancellation_and_end_leader() and run_until(); every assertion is kept. No source changes.

--- a/tests/cancelled_job_records_test.cc
+++ b/tests/cancelled_job_records_test.cc
@@ -4,6 +4,7 @@
 // fakes of the state service, the cloud and the workers.
 #include <gtest/gtest.h>
 
+#include <functional>
 #include <string>
 
 #include "fakes/calls.h"
@@ -55,6 +56,14 @@
   return key;
 }
 
+// Runs the simulation until the condition holds. Returns false if it does not within a minute.
+[[nodiscard]] bool run_until(SimulatedCluster& cluster, const std::function<bool()>& condition) {
+  constexpr Ms kTimeout = 60000;
+  const Ms end = cluster.time.now() + kTimeout;
+  while (!condition() && cluster.time.now() < end) cluster.time.run_for(1);
+  return condition();
+}
+
 int starts_of(const SimulatedCluster& cluster, const std::string& job) {
   int count = 0;
   for (const auto& [task, starts] : cluster.checker.starts) count += task.job == job ? starts : 0;
@@ -65,6 +74,29 @@
   return cluster.state.dump("work/" + job + "/").find("\"tasks\":[[") != std::string::npos;
 }
 
+// Cancels wk-1. The leader writes nothing more after the final status and ends as soon as the user
+// is told. Expects that no record assigns a task then, and that the next leader starts none.
+void confirm_cancellation_and_end_leader(SimulatedCluster& cluster) {
+  const std::string former_leader = cluster.leader();
+  bool final_status_sent = false;
+  cluster.net.set_rule([&](const std::string& from, const net::Call& call) {
+    Delivery delivery;
+    delivery.drop = final_status_sent && from == former_leader && is_to_store(call);
+    final_status_sent = final_status_sent || writes_final_status(call);
+    return delivery;
+  });
+  ASSERT_EQ(cluster.cancel_until_final(former_leader, "wk-1", 20000).stage(), "withdrawn");
+  EXPECT_FALSE(assigns_tasks(cluster, "wk-1")) << cluster.state.dump("work/wk-1/");
+  const int starts_when_confirmed = starts_of(cluster, "wk-1");
+  cluster.kill(former_leader);
+  cluster.net.set_rule({});
+  cluster.time.run_for(30000);
+  EXPECT_FALSE(cluster.leader().empty());
+  EXPECT_EQ(starts_of(cluster, "wk-1"), starts_when_confirmed);
+  EXPECT_EQ(cluster.state.count("work/wk-1/"), 0u);
+  cluster.expect_no_violations();
+}
+
 // Guards against ran_cancelled: a former leader left a record that assigns tasks of a job which has
 // ended. A new leader must not start them, not even to stop them at once, and must find out by
 // itself that they are absent.
@@ -95,28 +127,10 @@
     ASSERT_NO_FATAL_FAILURE(fill_replayable_starts(cluster));
     cluster.apply_limits(kFallingLimits.next);
     ASSERT_TRUE(cluster.submit("n0", small_task_job("wk-1", 96, kind)).accepted());
-    for (int i = 0; i < 3000 && !assigns_tasks(cluster, "wk-1"); ++i) cluster.time.run_for(1);
+    ASSERT_TRUE(run_until(cluster, [&] { return assigns_tasks(cluster, "wk-1"); }));
     cluster.time.run_for(300);
     ASSERT_EQ(cluster.state.count("work/wk-1/"), 3u);
-    const std::string former_leader = cluster.leader();
-    // Nothing is written any more after the final status.
-    bool final_status_sent = false;
-    cluster.net.set_rule([&](const std::string& from, const net::Call& call) {
-      Delivery delivery;
-      delivery.drop = final_status_sent && from == former_leader && is_to_store(call);
-      final_status_sent = final_status_sent || writes_final_status(call);
-      return delivery;
-    });
-    ASSERT_EQ(cluster.cancel_until_final(former_leader, "wk-1", 20000).stage(), "withdrawn");
-    EXPECT_FALSE(assigns_tasks(cluster, "wk-1")) << cluster.state.dump("work/wk-1/");
-    const int starts_when_confirmed = starts_of(cluster, "wk-1");
-    cluster.kill(former_leader);
-    cluster.net.set_rule({});
-    cluster.time.run_for(30000);
-    EXPECT_FALSE(cluster.leader().empty());
-    EXPECT_EQ(starts_of(cluster, "wk-1"), starts_when_confirmed);
-    EXPECT_EQ(cluster.state.count("work/wk-1/"), 0u);
-    cluster.expect_no_violations();
+    confirm_cancellation_and_end_leader(cluster);
   }
 }
 
@@ -132,7 +146,7 @@
   wire::Job filler = wide_job("wk-900", 8 * kMachines, 400);
   filler.cpus = 0.9;
   ASSERT_TRUE(cluster.submit_and_run(filler));
-  while (cluster.running_tasks("wk-900") < 8 * kMachines) cluster.time.run_for(100);
+  ASSERT_TRUE(run_until(cluster, [&] { return cluster.running_tasks("wk-900") == 8 * kMachines; }));
   wire::Job job = array_job("wk-1", 16, 300);  // uses the whole quota, and all GPUs of its zone
   job.cpus = 0.3;
   job.memory_gb = 1;
@@ -141,7 +155,7 @@
   job.id = "wk-2";
   job.zone = "b";
   cluster.submit("n0", job);
-  for (int i = 0; i < 3000 && !assigns_tasks(cluster, "wk-1"); ++i) cluster.time.run_for(1);
+  ASSERT_TRUE(run_until(cluster, [&] { return assigns_tasks(cluster, "wk-1"); }));
   const std::string former_leader = cluster.leader();
   cluster.net.set_rule([&](const std::string& from, const net::Call& call) {
     Delivery delivery;
@@ -164,28 +178,12 @@
   SimulatedCluster cluster(1, 1, kFallingLimits, {"n2"});
   ASSERT_NO_FATAL_FAILURE(fill_replayable_starts(cluster));
   ASSERT_TRUE(cluster.submit("n0", small_task_job("wk-1", 96, wire::JobKind::array)).accepted());
-  while (cluster.running_tasks("wk-1") < 96) cluster.time.run_for(100);
+  ASSERT_TRUE(run_until(cluster, [&] { return cluster.running_tasks("wk-1") == 96; }));
   ASSERT_TRUE(cluster.state.has("work/wk-1/0"));  // a chunk
   cluster.upgrade("n2");
-  while (!cluster.state.has("cluster")) cluster.time.run_for(100);
+  ASSERT_TRUE(run_until(cluster, [&] { return cluster.state.has("cluster"); }));
   cluster.apply_limits(kFallingLimits.next);
-  const std::string former_leader = cluster.leader();
-  bool final_status_sent = false;
-  cluster.net.set_rule([&](const std::string& from, const net::Call& call) {
-    Delivery delivery;
-    delivery.drop = final_status_sent && from == former_leader && is_to_store(call);
-    final_status_sent = final_status_sent || writes_final_status(call);
-    return delivery;
-  });
-  ASSERT_EQ(cluster.cancel_until_final(former_leader, "wk-1", 20000).stage(), "withdrawn");
-  EXPECT_FALSE(assigns_tasks(cluster, "wk-1")) << cluster.state.dump("work/wk-1/");
-  const int starts_when_confirmed = starts_of(cluster, "wk-1");
-  cluster.kill(former_leader);
-  cluster.net.set_rule({});
-  cluster.time.run_for(30000);
-  EXPECT_EQ(starts_of(cluster, "wk-1"), starts_when_confirmed);
-  EXPECT_EQ(cluster.state.count("work/wk-1/"), 0u);
-  cluster.expect_no_violations();
+  confirm_cancellation_and_end_leader(cluster);
 }
 
 // A cancellation waits for the writes that clear its records. Those of a job with many records must
@@ -199,7 +197,7 @@
   job.cpus = 0.005;
   job.memory_gb = 0.01;
   ASSERT_TRUE(cluster.submit("n0", job).accepted());
-  while (cluster.state.count("work/wk-1/") < 24) cluster.time.run_for(1);
+  ASSERT_TRUE(run_until(cluster, [&] { return cluster.state.count("work/wk-1/") == 24; }));
   EXPECT_EQ(cluster.cancel_until_final(cluster.leader(), "wk-1", kCancelTime).stage(), "withdrawn");
   EXPECT_FALSE(assigns_tasks(cluster, "wk-1"));
   cluster.time.run_for(45000);
