--- a/review/standin-2/cases.h
+++ b/review/standin-2/cases.h
@@ -29,8 +29,8 @@
   return {"magnum", 32, 0, 128, 1.65, 0.69, 25, 0.8, 80, {"levis-annex", "laval-nord"}};
 }
 
-// A machine's answers and the direct commands to it are lost for some seconds. It keeps its tasks and
-// goes on; then there is room on it, and the cloud has no other machine.
+// The answers and the direct commands to two of four machines are lost for some seconds. They keep
+// their tasks and go on; then there is room on it, and the cloud has no other machine.
 inline int deaf(const Setting& setting) {
   Deployment& d = *new Deployment(riga(), {sikspairnis()}, setting.program, setting.folder);
   const Ender ender{d};
@@ -52,20 +52,19 @@
           "the jobs do not start");
   const std::string host = *d.ground.hosts("wk-000001/0").begin();
   const std::shared_ptr<Worker> machine = d.cloud.worker(host);
+  const std::shared_ptr<Worker> second = d.cloud.worker(*d.ground.hosts("wk-000009/0").begin());
   if (setting.trouble) {
-    record.line("%s receives nothing", host.c_str());
-    machine->deaf = true;
+    record.line("%s and %s receive nothing", host.c_str(), second->host().c_str());
+    machine->deaf = second->deaf = true;
   }
   const Time begun = now();
   JobSpec early{here(job_body("wk-000003", "dock-check", "van-crew", "sweep", "normal", 1, 2, 0, 2)), 1};
   require(d.submit(early) == 201, "the third job is not accepted");
-  sleep_s(12);
+  sleep_s(11.3);
   std::thread([&d] { d.cancel("wk-000002"); }).detach();
-  sleep_s(1.7);
-  if (setting.trouble) record.line("%s receives again, after %.1f s", host.c_str(), seconds_since(begun));
-  machine->deaf = false;
-  require(wait_for([&] { return d.poll("wk-000003", -1, true).stage == "done"; }, 20, 0.5), "the third job does not end");
-  require(wait_for([&] { return d.poll("wk-000002", -1, true).stage == "withdrawn"; }, 10, 0.5), "it is not cancelled");
+  sleep_s(1.4);
+  if (setting.trouble) record.line("they receive again, after %.1f s", seconds_since(begun));
+  machine->deaf = second->deaf = false;
   JobSpec late{here(job_body("wk-000004", "dock-check", "van-crew", "sweep", "normal", 1, 8, 0, 8)), 3};
   require(d.submit(late) == 201, "the last job is not accepted");
   const Time since = now();
@@ -73,6 +72,7 @@
   record.line("wk-000004 %s %.0f s; the service is still on %s: %d", ran ? "starts after" : "waits after",
               seconds_since(since), host.c_str(), !d.ground.hosts("wk-000001/0").empty());
   d.poll("wk-000004");
+  require(d.poll("wk-000002").stage == "withdrawn" && d.poll("wk-000003").stage == "done", "the machine did not go on");
   return ran ? 0 : 1;
 }
 
@@ -205,11 +205,13 @@
   int polls = 0, answered = 0;
   bool restarted = !setting.trouble;
   const Time since = now();
+  KeptConnection user(d.port(static_cast<std::size_t>(next)));  // "Open connections are not moved"
   for (double asked_at = 0; asked_at < 90 && answered == 0;) {
     asked_at = seconds_since(since);
-    const auto polled = d.poll("wk-000001", next);
+    const auto polled = user.get("/api/jobs/wk-000001", 2);
+    record.line("poll wk-000001: %d %s", polled ? polled->status : 0, polled ? polled->body.c_str() : "");
     ++polls;
-    answered += polled.status == 200 ? 1 : 0;
+    answered += polled && polled->status == 200 ? 1 : 0;
     if (!restarted && seconds_since(killed) > 6) {
       d.launch(static_cast<std::size_t>(first));
       restarted = true;
@@ -219,8 +221,8 @@
   load.stop = true;
   const int other = static_cast<int>((static_cast<std::size_t>(next) + 1) % d.size());
   const int elsewhere = d.poll("wk-000001", other).status;
-  record.line("wk-000001: %d of %d polls answered in %.0f s; other jobs: %d of %d; another node answers it with %d", answered,
-              polls, seconds_since(since), load.answered.load(), load.polls.load(), elsewhere);
+  record.line("wk-000001: %d of %d polls answered in %.0f s, on %d connection(s); other jobs: %d of %d; another node answers it with %d", answered,
+              polls, seconds_since(since), user.opened, load.answered.load(), load.polls.load(), elsewhere);
   if (!setting.trouble) return answered > 0 ? 0 : 1;
   return answered == 0 && load.answered * 2 > load.polls ? 1 : 0;
 }
--- a/review/standin-2/http.h
+++ b/review/standin-2/http.h
@@ -13,6 +13,7 @@
 #include <cstring>
 #include <functional>
 #include <optional>
+#include <random>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -57,11 +58,18 @@
   return fd;
 }
 
-// A port that was free a moment ago, for a process that binds it itself.
+// A port that is free now, for a process that binds it itself. It is below those that the system gives
+// to outgoing connections, so that none of these takes it meanwhile.
 inline int free_port() {
-  int port = 0;
-  close(listen_on_free_port(&port));
-  return port;
+  static std::mt19937 random(std::random_device{}());
+  for (;;) {
+    const int port = std::uniform_int_distribution<>(10000, 31000)(random);
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    const bool is_free = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    close(fd);
+    if (is_free) return port;
+  }
 }
 
 inline bool send_all(int fd, const std::string& data) {
@@ -175,4 +183,33 @@
   return result;
 }
 
+// A connection that stays open, as a user's does. Opened again if it was closed.
+class KeptConnection {
+ public:
+  explicit KeptConnection(int port) : port_(port) {}
+  ~KeptConnection() { drop(); }
+  std::optional<Response> get(const std::string& path, double timeout_s) {
+    if (fd_ < 0) {
+      fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      ++opened;
+      const sockaddr_in address = loopback(port_);
+      if (connect(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) return drop();
+    }
+    std::string buffer;
+    if (!send_all(fd_, "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n")) return drop();
+    const std::size_t head = read_message(fd_, buffer, now() + secs(timeout_s));
+    if (head == 0) return drop();
+    return Response{std::atoi(buffer.c_str() + buffer.find(' ') + 1), buffer.substr(head)};
+  }
+  int opened = 0;  // how often it was opened
+
+ private:
+  std::optional<Response> drop() {
+    if (fd_ >= 0) close(fd_);
+    fd_ = -1;
+    return std::nullopt;
+  }
+  int port_, fd_ = -1;
+};
+
 }  // namespace standin
--- a/review/standin-2/platform.h
+++ b/review/standin-2/platform.h
@@ -687,7 +687,10 @@
         pause = 0.1;
         continue;
       }
-      if (deaf) answer.reset();
+      if (deaf) {  // a lost answer is waited for, as the page says
+        answer.reset();
+        while (seconds_since(sent) < 4 && !dead) sleep_s(0.02);
+      }
       pause = times_.report_s * (0.75 + 0.5 * (random_() % 1000) / 1000.0);
       may_hurry_ = true;
       if (answer && seconds_since(sent) > 4) answer.reset();
