Bound a scaling plan by what the cloud rents, not by the tasks of gangs

Cause: callers of three gangs of 100,000 tasks got 201, and then every controller ended for memory, one after another; an ordinary job of another team never started. A scaling plan made a whole planned machine for each task that lacked one, although a rental asks for 50 at most and the rest was thrown away. The lists of pending tasks and of expected ones (headroom) had an entry a task too. Change: a plan has at most one rental's machines of an option; a job whose cheapest option is used up waits for the next plan, so the same rentals are asked for. Pending tasks are ranges (sched/task_ranges.h). Why it works: what a plan holds no longer depends on what is asked for.

--- a/src/leader/fleet/scale_out.cc
+++ b/src/leader/fleet/scale_out.cc
@@ -8,11 +8,6 @@
 
 using net::Ms;
 
-namespace {
-// The maximum number of machines that one rental may request.
-constexpr int kMaxMachinesPerRental = 50;
-}  // namespace
-
 ScaleOut::ScaleOut(net::Runtime& runtime, cloud::Client& cloud,
                    const cloud::MachineCatalog& catalog, const config::Settings& settings,
                    const ZoneMonitor& zones, MachineInventory& inventory)
@@ -42,7 +37,8 @@
                         zone,
                         spot,
                         spot ? type.spot_price : type.price,
-                        {type.cpus, type.gpus, type.memory_gb}});
+                        {type.cpus, type.gpus, type.memory_gb},
+                        wire::kMaxMachinesPerRental});
       }
     }
   return list;
@@ -52,7 +48,7 @@
   // The epoch and the counter make the request name unique; it is never used again.
   const std::string request = "r" + std::to_string(epoch_) + "-" + std::to_string(++counter_);
   const wire::Rental rental{request, option.type, option.zone, option.spot,
-                            std::min(count, kMaxMachinesPerRental)};
+                            std::min(count, wire::kMaxMachinesPerRental)};
   pending_[request] = {option.type, option.zone, option.spot, rental.count};
   spdlog::debug("renting {} machines of type {} in zone {}, spot {}", rental.count, rental.type,
                 rental.zone, rental.spot);
--- a/src/leader/scheduling/headroom_estimator.cc
+++ b/src/leader/scheduling/headroom_estimator.cc
@@ -39,7 +39,7 @@
   view.zone = spec.zone;
   view.spot = spec.spot;
   view.task_count = tasks;
-  for (std::uint32_t task = 0; task < tasks; ++task) view.pending.push_back(task);
+  view.pending = sched::TaskRanges::up_to(tasks);
   return view;
 }
 
--- a/src/leader/scheduling/job_views.cc
+++ b/src/leader/scheduling/job_views.cc
@@ -14,14 +14,17 @@
 namespace {
 
 // The maximum number of pending tasks of one job that a pass considers.
-constexpr std::size_t kMaxPendingTasksPerJob = 256;
+constexpr std::uint32_t kMaxPendingTasksPerJob = 256;
 
 // Returns the first `max_tasks` pending tasks of the job. For a gang it returns all pending tasks,
 // however many, because a gang is placed as a whole.
-std::vector<std::uint32_t> pending_tasks(const JobRecord& job, std::size_t max_tasks) {
-  std::vector<std::uint32_t> pending;
+sched::TaskRanges pending_tasks(const JobRecord& job, std::uint32_t max_tasks) {
+  if (job.gang()) max_tasks = job.spec.tasks;
+  if (job.attempts.empty() && job.finished_count == 0)
+    return sched::TaskRanges::up_to(std::min(max_tasks, job.spec.tasks));
+  sched::TaskRanges pending;
   for (std::uint32_t task = job.first_unclaimed_task; task < job.spec.tasks; ++task) {
-    if (!job.gang() && pending.size() == max_tasks) break;
+    if (pending.size() == max_tasks) break;
     if (!job.claimed[task]) pending.push_back(task);
   }
   return pending;
--- a/src/sched/autoscaler.cc
+++ b/src/sched/autoscaler.cc
@@ -243,11 +243,14 @@
   return true;
 }
 
+// If the cheapest option is used up, the rest of the demand is left to the next plan, which knows
+// what the cloud has rented by then.
 void Autoscaler::scale_out(Demand& demand, Budget& budget) {
   while (demand.missing > 0) {
     const std::optional<std::size_t> best = cheapest_option(demand, budget);
     if (!best) return;
     const ScaleOutOption& option = options_[*best];
+    if (rent_counts_[*best] == option.max_count) return;
     ++rent_counts_[*best];
     budget.remaining -= option.price;
     CandidateMachine& candidate = add_planned_machine(option);
--- a/src/sched/cluster_snapshot.h
+++ b/src/sched/cluster_snapshot.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "sched/resources.h"
+#include "sched/task_ranges.h"
 #include "wire/types.h"
 
 namespace seampass::sched {
@@ -90,9 +91,9 @@
   // How many seconds the job's start may wait for resources that are in use, before new machines
   // are rented instead.
   double wait_budget_s = 0;
-  std::uint32_t task_count = 0;        // number of tasks in the whole job
-  std::vector<std::uint32_t> pending;  // tasks to place, ascending; possibly only the first ones
-  ZoneCounts placed;                   // tasks charged to a machine, by any of their attempts
+  std::uint32_t task_count = 0;  // number of tasks in the whole job
+  TaskRanges pending;            // tasks to place; possibly only the first ones
+  ZoneCounts placed;             // tasks charged to a machine, by any of their attempts
   // Pairs of a task and the index of a machine that the task must avoid. That machine still has a
   // record of an earlier attempt of the task, because a delayed copy of that attempt's start may
   // yet arrive there. A new attempt on the same machine would conflict with it.
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -44,7 +44,7 @@
     if (placements.empty()) return;
     std::set<std::uint32_t> placed;
     for (const Placement& placement : placements) placed.insert(placement.task);
-    std::erase_if(job.pending, [&](std::uint32_t task) { return placed.contains(task); });
+    job.pending.remove(placed);
     decisions_.starts.push_back({index, std::move(placements)});
   }
 
--- a/src/sched/task_placer.cc
+++ b/src/sched/task_placer.cc
@@ -34,10 +34,12 @@
 }
 
 // Places one unplaced task on this machine: the first one that may use it, or one by exchange.
-// Returns false if neither is possible.
-bool place_next_task(const JobView& job, std::size_t machine, std::vector<Placement>& placements) {
+// Returns false if neither is possible. If no task avoids any machine, the tasks are placed in
+// their order and `next` is the first unplaced one.
+bool place_next_task(const JobView& job, std::size_t machine, TaskRanges::Iterator& next,
+                     std::vector<Placement>& placements) {
   if (job.anti_affinity.empty()) {
-    placements.push_back({job.pending[placements.size()], machine});
+    placements.push_back({*next++, machine});
     return true;
   }
   std::vector<std::uint32_t> avoiding_tasks;
@@ -60,11 +62,12 @@
   const std::size_t max_placements = std::min<std::size_t>(
       job.pending.size(), snapshot_.teams[job.team].tasks_within_quota(job.request));
   if (max_placements == 0) return placements;
+  TaskRanges::Iterator next = job.pending.begin();
   for (const MachineScore& candidate : pools_.candidates(job, zone)) {
     const MachineView& machine = snapshot_.machines[candidate.machine];
     while (placements.size() < max_placements && job.request.fits_in(machine.free) &&
            zone_allows(job, tasks_by_zone, machine.zone)) {
-      if (!place_next_task(job, candidate.machine, placements)) break;
+      if (!place_next_task(job, candidate.machine, next, placements)) break;
       reserve(job, candidate.machine);
       ++tasks_by_zone[machine.zone];
     }
--- a/src/wire/types.h
+++ b/src/wire/types.h
@@ -42,6 +42,7 @@
 enum class Verb { start, stop, forget };
 
 inline constexpr std::uint32_t kMaxTasks = 100000;  // per job
+inline constexpr int kMaxMachinesPerRental = 50;
 
 // A job as submitted by a user. It never changes after its submission.
 struct Job {
--- a/tests/sched_builders.h
+++ b/tests/sched_builders.h
@@ -25,7 +25,7 @@
   job.types = &kAnyType;
   job.task_count = tasks;
   job.spot = true;
-  for (std::uint32_t task = 0; task < tasks; ++task) job.pending.push_back(task);
+  job.pending = TaskRanges::up_to(tasks);
   return job;
 }
 
@@ -74,9 +74,9 @@
     job.spot = random_below(2);
     job.image = "i" + std::to_string(random_below(2));
     job.task_count = 1 + random_below(6);
-    for (std::uint32_t task = 0; task < job.task_count; ++task) job.pending.push_back(task);
+    job.pending = TaskRanges::up_to(job.task_count);
     if (job.kind == wire::JobKind::array && random_below(2) && job.task_count > 1) {
-      job.pending.erase(job.pending.begin());
+      job.pending.remove({0});
       job.placed[std::string(1, static_cast<char>('a' + random_below(3)))] = 1;
     }
     for (int remaining_pairs = random_below(3) == 0 ? 4 : 0; remaining_pairs > 0; --remaining_pairs)
--- a/tests/sched_scaling_test.cc
+++ b/tests/sched_scaling_test.cc
@@ -1,6 +1,9 @@
 // Tests which machines are rented for pending jobs and which are kept as headroom.
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 #include "sched/sched.h"
 #include "sched_builders.h"
 
@@ -45,6 +48,40 @@
   EXPECT_EQ(scale_out[0].count, 3);
 }
 
+// Guards against a plan that holds a machine for every task that a user asks for, so that a
+// controller runs out of memory.
+TEST(Sched, PlansNoMoreMachinesThanTheCloudRentsForGangsOfTheLargestSize) {
+  const std::vector<ScaleOutOption> options = {{"big", "a", false, 4, {16, 4, 64}, 50},
+                                               {"big", "b", false, 5, {16, 4, 64}, 50}};
+  ClusterSnapshot snapshot;
+  for (const char* id : {"wk-1", "wk-2", "wk-3"})
+    snapshot.jobs.push_back(pending_job(id, wire::JobKind::gang, wire::kMaxTasks, {15, 0, 60}));
+  for (int i = 0; i < 400; ++i)
+    snapshot.jobs.push_back(
+        pending_job("wk-" + std::to_string(100 + i), wire::JobKind::array, 256, {15, 0, 60}));
+
+  const ScalingPlan plan = plan_scaling(snapshot, options, {});
+
+  ASSERT_EQ(plan.scale_out.size(), 1u);
+  EXPECT_EQ(plan.scale_out[0].option, 0u);
+  EXPECT_EQ(plan.scale_out[0].count, 50);
+}
+
+TEST(Sched, RentsOtherMachinesForAJobThatCannotUseTheOptionThatIsUsedUp) {
+  const std::vector<ScaleOutOption> options = {{"big", "a", false, 4, {16, 4, 64}, 50},
+                                               {"big", "b", false, 5, {16, 4, 64}, 50}};
+  ClusterSnapshot snapshot;
+  snapshot.jobs.push_back(pending_job("wk-1", wire::JobKind::gang, wire::kMaxTasks, {15, 0, 60}));
+  snapshot.jobs.push_back(pending_job("wk-2", wire::JobKind::array, 3, {15, 0, 60}));
+  snapshot.jobs[1].zone = "b";
+
+  const ScalingPlan plan = plan_scaling(snapshot, options, {});
+
+  ASSERT_EQ(plan.scale_out.size(), 2u);
+  EXPECT_EQ(plan.scale_out[1].option, 1u);
+  EXPECT_EQ(plan.scale_out[1].count, 3);
+}
+
 TEST(Sched, KeepsHeadroomWithinItsBudget) {
   const std::vector<ScaleOutOption> options = {{"small", "a", false, 1, {4, 0, 16}}};
   ClusterSnapshot snapshot;
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -41,8 +41,10 @@
     time.run_for(1'000'000);
   }
 
-  JobRecord& add_job(const std::string& id, std::uint32_t tasks) {
+  JobRecord& add_job(const std::string& id, std::uint32_t tasks,
+                     wire::JobKind kind = wire::JobKind::array) {
     JobRecord job;
+    job.spec.kind = kind;
     job.spec.id = id;
     job.spec.job_class = "interactive";
     job.spec.tasks = tasks;
@@ -143,6 +145,28 @@
   }
 }
 
+// Guards against snapshots and headroom that list every task of a job, so that a controller runs
+// out of memory.
+TEST_F(SchedulingTest, ViewsOfJobsOfTheLargestSizeListNoSingleTasks) {
+  Fleet fleet(time, cloud, catalog, settings, operator_settings, [](Machine& /*machine*/) {});
+  SnapshotBuilder builder(sources, fleet);
+  HeadroomEstimator headroom(sources);
+  for (const std::string id : {"a", "b", "c"})
+    headroom.record_arrival(add_job(id, wire::kMaxTasks, wire::JobKind::gang));
+
+  builder.update();
+
+  ASSERT_EQ(builder.snapshot().jobs.size(), 3U);
+  for (const sched::JobView& view : builder.snapshot().jobs) {
+    EXPECT_EQ(view.pending.size(), wire::kMaxTasks);
+    EXPECT_EQ(view.pending.range_count(), 1U);
+  }
+  const auto expected = headroom.estimate(builder.snapshot());
+  ASSERT_EQ(expected.size(), 1U);
+  EXPECT_GT(expected.front().job.pending.size(), std::size_t{3} * wire::kMaxTasks);
+  EXPECT_EQ(expected.front().job.pending.range_count(), 1U);
+}
+
 TEST_F(SchedulingTest, SnapshotOrdersMachinesByNameAndReusesSlotsOfDeletedMachines) {
   Fleet fleet(time, cloud, catalog, settings, operator_settings, [](Machine& /*machine*/) {});
   SnapshotBuilder builder(sources, fleet);
