Hold the tasks of a gang's launch once, not once for each task record

Cause: the callback of each task record of a gang's launch held the ids of all its tasks; a controller that starts a gang of many small tasks ends for memory. Change: the callbacks hold the attempt's number; the ids are looked up once, when the last record is durable.

--- a/src/leader/attempts/attempt_launcher.cc
+++ b/src/leader/attempts/attempt_launcher.cc
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <utility>
 
 #include "leader/audit_log.h"
 
@@ -31,13 +32,11 @@
 void AttemptLauncher::launch(JobRecord& job, const std::vector<PlacedTask>& tasks) {
   const std::uint64_t attempt = ++job.last_attempt;
   std::map<RecordId, std::vector<AttemptId>> by_record;
-  std::vector<AttemptId> all_ids;
   for (const PlacedTask& placed : tasks) {
     tracker_.add(job, placed.task, attempt, *placed.machine, placed.machine->incarnation);
-    all_ids.push_back({job.spec.id, placed.task, attempt});
-    by_record[task_records_.record_of(placed.task)].push_back(all_ids.back());
+    by_record[task_records_.record_of(placed.task)].push_back({job.spec.id, placed.task, attempt});
   }
-  audit::launch(job.spec.id, attempt, all_ids.size(),
+  audit::launch(job.spec.id, attempt, tasks.size(),
                 tasks.empty() ? "none" : tasks.front().machine->name);
   const std::string id = job.spec.id;
   const bool gang = job.gang();
@@ -45,15 +44,32 @@
   // last of these records is durable.
   const auto records_pending = std::make_shared<std::size_t>(by_record.size());
   for (auto& [record, record_ids] : by_record) {
-    task_records_.record_changed(
-        id, record_ids.front().task, Urgency::assignment,
-        [this, id, gang, records_pending, all_ids, record_ids = record_ids] {
-          if (!gang) return on_assignment_durable(id, record_ids);
-          if (--*records_pending == 0) on_assignment_durable(id, all_ids);
-        });
+    const std::uint32_t first_task = record_ids.front().task;
+    if (gang) {
+      task_records_.record_changed(id, first_task, Urgency::assignment,
+                                   [this, id, attempt, records_pending] {
+                                     if (--*records_pending == 0)
+                                       on_assignment_durable(id, ids_of_attempt(id, attempt));
+                                   });
+    } else {
+      task_records_.record_changed(id, first_task, Urgency::assignment,
+                                   [this, id, record_ids = std::move(record_ids)] {
+                                     on_assignment_durable(id, record_ids);
+                                   });
+    }
   }
 }
 
+std::vector<AttemptId> AttemptLauncher::ids_of_attempt(const std::string& id,
+                                                       std::uint64_t number) const {
+  std::vector<AttemptId> ids;
+  const JobRecord* job = jobs_.find(id);
+  if (!job) return ids;
+  for (const auto& [task, attempt] : job->attempts)
+    if (attempt.number == number) ids.push_back(attempt.id());
+  return ids;
+}
+
 bool AttemptLauncher::may_start(const TaskAttempt& attempt) const {
   return !attempt.stop_requested && !attempt.start_sent && attempt.job->active() &&
          context_.election.lease_valid();
--- a/src/leader/attempts/attempt_launcher.h
+++ b/src/leader/attempts/attempt_launcher.h
@@ -8,6 +8,7 @@
 // of a term.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,9 @@
   void launch(JobRecord& job, const std::vector<PlacedTask>& tasks);
 
  private:
+  // Returns the ids of the job's present attempts with this number.
+  [[nodiscard]] std::vector<AttemptId> ids_of_attempt(const std::string& id,
+                                                      std::uint64_t number) const;
   void on_assignment_durable(const std::string& id, const std::vector<AttemptId>& assigned);
   [[nodiscard]] bool may_start(const TaskAttempt& attempt) const;
   static void append_start(const Machine& machine, const AttemptId& id,
--- a/tests/largest_gangs_test.cc
+++ b/tests/largest_gangs_test.cc
@@ -50,5 +50,24 @@
   cluster.expect_no_violations();
 }
 
+// Guards against a launch that holds the list of a gang's tasks once for each of its records.
+TEST(LargestGangs, LaunchHoldsEachTaskOnce) {
+  SimulatedCluster cluster(1, 4, {{100, 40, 8, 10}, {100, 40, 2, 10}});
+  ASSERT_TRUE(cluster.wait_for_leader());
+  cluster.time.run_for(10000);
+  [[maybe_unused]] const long peak_before = peak_memory_kib();
+  wire::Job gang = largest_gang("wk-1");
+  gang.cpus = gang.memory_gb = 0.0001;
+  ASSERT_EQ(cluster.submit("n0", gang).status, 201);
+
+  for (int i = 0; i < 100 && cluster.state.count("work/") < 20; ++i) cluster.time.run_for(100);
+
+  EXPECT_GE(cluster.state.count("work/"), 20u);
+#if !defined(__SANITIZE_ADDRESS__)
+  EXPECT_LT(peak_memory_kib() - peak_before, kMemoryLimitKib);
+#endif
+  cluster.expect_no_violations();
+}
+
 }  // namespace
 }  // namespace seampass::fakes
