Give polls of ended jobs a share of the state service, and a bound on their wait

Cause: callers who asked the next leader's node about a job that was done got 503 for 90 s and more, under a load of small jobs. A read for a poll was admitted only while no request of the node waited, however little urgent; at the leader progress writes always wait for the rate of changes. Change: a quarter of the service's rate of requests, divided among the nodes, is for polls alone, and those reads are sent at once. A poll waits an eighth of a heartbeat interval at most (QueryQueue): the job asked about the longest ago has the next turn and keeps its place. Polls that other nodes pass on are not queued at the leader. Reads no longer wait behind writes that wait for the rate of changes (repeated submissions, cancellations of ended jobs). Why it works: what admits a poll no longer depends on what else waits, and uses nothing that acceptances or the lease need.

--- a/src/app/node.cc
+++ b/src/app/node.cc
@@ -13,6 +13,7 @@
 // of requests to the state service and to workers.
 constexpr double kRequestTimeoutDivisor = 3;
 constexpr double kCatalogRetryDivisor = 2;
+constexpr double kQueryWaitDivisor = 8;
 constexpr double kVersionRetryDivisor = 10;
 constexpr double kExtensionMarginDivisor = 3;
 // The cloud responds slowly, and the more slowly the lower its rate limit is. Its timeout is at
@@ -43,6 +44,10 @@
   return ms(settings.heartbeat_interval_s / kRequestTimeoutDivisor);
 }
 
+net::Ms query_wait(const config::Settings& settings) {
+  return ms(settings.heartbeat_interval_s / kQueryWaitDivisor);
+}
+
 net::Ms cloud_timeout(const config::Settings& settings) {
   return ms(std::max(settings.heartbeat_interval_s, kCloudTimeoutRequests / settings.cloud_rps));
 }
@@ -55,13 +60,12 @@
       operator_settings_(std::move(operator_settings)),
       budget_(ResourceBudget::for_settings(settings_)),
       peers_(peers),
-      state_(runtime, http, settings_.state, budget_.state_requests_per_s,
-             budget_.state_changes_per_s, request_timeout(settings_)),
+      state_(runtime, http, settings_.state, budget_.state_rates, request_timeout(settings_)),
       cloud_(runtime, http, settings_.cloud, budget_.cloud_requests_per_s,
              cloud_timeout(settings_)),
       catalog_(runtime, cloud_, ms(settings_.lease_s * kCatalogRefreshLeases),
                ms(settings_.heartbeat_interval_s / kCatalogRetryDivisor)),
-      status_reader_(state_, budget_.cached_final_statuses),
+      status_reader_(runtime, state_, budget_.cached_final_statuses, query_wait(settings_)),
       election_(runtime, state_, settings_.node, settings_.peers.size(), election_times(settings_),
                 election_callbacks()),
       cluster_(runtime, state_, settings_.peers, record_spans(settings_),
--- a/src/app/resource_budget.cc
+++ b/src/app/resource_budget.cc
@@ -24,6 +24,9 @@
 // the remaining share.
 constexpr double kStateRequestShare = 0.7;
 constexpr double kStateChangeShare = 0.8;
+// The share of the state service's rate of requests that all nodes together reserve for status
+// queries. It is divided evenly, because users may ask at any node.
+constexpr double kStateQueryShare = 0.25;
 // The share of the cloud's rate limit that one node may use. Only the leader's requests and the
 // catalog refreshes of all nodes count towards this limit.
 constexpr double kCloudShare = 0.7;
@@ -39,8 +42,10 @@
   budget.server_connections = sockets - sockets / kOutgoingDivisor - sockets / kOtherDivisor;
   budget.cached_final_statuses = static_cast<std::size_t>(
       settings.memory_mb / kCacheDivisor * kKibPerMib * kBytesPerKib / kBytesPerFinalStatus);
-  budget.state_requests_per_s = limits.rps * kStateRequestShare;
-  budget.state_changes_per_s = limits.write_rps * kStateChangeShare;
+  const auto nodes = static_cast<double>(settings.peers.size() + 1);
+  budget.state_rates = {.requests_per_s = limits.rps * kStateRequestShare,
+                        .writes_per_s = limits.write_rps * kStateChangeShare,
+                        .query_reads_per_s = limits.rps * kStateQueryShare / nodes};
   budget.cloud_requests_per_s = settings.cloud_rps * kCloudShare;
   return budget;
 }
--- a/src/app/resource_budget.h
+++ b/src/app/resource_budget.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 
 #include "config/settings.h"
+#include "state/request_queue.h"
 
 namespace seampass::app {
 
@@ -24,8 +25,7 @@
 
   // Maximum rates of requests and of changes, per second. Those for the state service are below its
   // current limits and also below the limits that are announced as the next ones.
-  double state_requests_per_s = 0;
-  double state_changes_per_s = 0;
+  state::RequestRates state_rates;
   double cloud_requests_per_s = 0;
 
   [[nodiscard]] static ResourceBudget for_settings(const config::Settings& settings);
--- a/src/jobs/job_status_reader.cc
+++ b/src/jobs/job_status_reader.cc
@@ -25,7 +25,28 @@
 
 void JobStatusReader::query(const std::string& job, const Done& done) {
   if (const auto cached = cache_.find(job)) return done({Lookup::ended, *cached, {}});
-  if (!state_.admit_query()) return done({});
+  auto& waiting = waiting_queries_[job];
+  waiting.push_back(done);
+  if (waiting.size() > 1) return;
+  queries_.add(job, [this, job](QueryQueue::Turn turn) { on_turn(job, turn); });
+}
+
+// The queries that waited for the same job share its turn. A query that arrives later needs a read
+// of its own: the job's status may have changed since this read began.
+void JobStatusReader::on_turn(const std::string& job, QueryQueue::Turn turn) {
+  auto entry = waiting_queries_.extract(job);
+  const auto answer_all = [queries = std::move(entry.mapped())](const JobLookup& result) {
+    for (const Done& done : queries) done(result);
+  };
+  if (turn == QueryQueue::Turn::refused) return answer_all({});
+  // The job's final status may have become known while the queries waited.
+  if (const auto cached = cache_.find(job)) return answer_all({Lookup::ended, *cached, {}});
+  read_open(job, UpstreamWalk::Budget::status_queries, answer_all);
+}
+
+void JobStatusReader::query_without_waiting(const std::string& job, const Done& done) {
+  if (const auto cached = cache_.find(job)) return done({Lookup::ended, *cached, {}});
+  if (!queries_.admit_at_once()) return done({});
   read_open(job, UpstreamWalk::Budget::status_queries, done);
 }
 
@@ -39,16 +60,18 @@
 // order that can't miss an existing job (see StoredJobReader::read).
 void JobStatusReader::read_final_status_first(const std::string& job, const Done& done) {
   if (const auto cached = cache_.find(job)) return done({Lookup::ended, *cached, {}});
-  reader_.read_final_status(job, [this, job, done](const StoredJob& stored) {
-    if (std::holds_alternative<JobNotFound>(stored))
-      return read_open(job, UpstreamWalk::Budget::controller_work, done);
-    done(lookup_of(job, stored));
-  });
+  constexpr auto budget = UpstreamWalk::Budget::dependencies;
+  reader_.read_final_status(job, UpstreamWalk::urgency_of(budget),
+                            [this, job, done](const StoredJob& stored) {
+                              if (std::holds_alternative<JobNotFound>(stored))
+                                return read_open(job, budget, done);
+                              done(lookup_of(job, stored));
+                            });
 }
 
 void JobStatusReader::read_open(const std::string& job, UpstreamWalk::Budget budget,
                                 const Done& done) {
-  reader_.read(job, [this, job, budget, done](StoredJob stored) {
+  reader_.read(job, UpstreamWalk::urgency_of(budget), [this, job, budget, done](StoredJob stored) {
     if (auto* open_job = std::get_if<OpenJob>(&stored))
       return UpstreamWalk::start({state_, cache_, reader_}, job, std::move(*open_job), budget,
                                  done);
--- a/src/jobs/stored_job_reader.cc
+++ b/src/jobs/stored_job_reader.cc
@@ -38,20 +38,24 @@
 
 // Reads `open/` before `ends/`. One transaction deletes a job's open record and writes its final
 // status, so in this order the reads can't miss both records of a job that exists.
-void StoredJobReader::read(const std::string& job, Done done) {
-  state_.get(leader::open_key(job),
-             [this, job, done = std::move(done)](state::GetResult result) mutable {
-               if (result.outcome == Outcome::missing)
-                 return read_final_status(job, std::move(done));
-               done(parse_open_job(std::move(result)));
-             });
+void StoredJobReader::read(const std::string& job, state::Urgency urgency, Done done) {
+  state_.get(
+      leader::open_key(job),
+      [this, job, urgency, done = std::move(done)](state::GetResult result) mutable {
+        if (result.outcome == Outcome::missing)
+          return read_final_status(job, urgency, std::move(done));
+        done(parse_open_job(std::move(result)));
+      },
+      urgency);
 }
 
-void StoredJobReader::read_final_status(const std::string& job, Done done) {
-  state_.get(leader::final_status_key(job),
-             [this, job, done = std::move(done)](const state::GetResult& result) {
-               done(on_final_status(job, result));
-             });
+void StoredJobReader::read_final_status(const std::string& job, state::Urgency urgency, Done done) {
+  state_.get(
+      leader::final_status_key(job),
+      [this, job, done = std::move(done)](const state::GetResult& result) {
+        done(on_final_status(job, result));
+      },
+      urgency);
 }
 
 StoredJob StoredJobReader::on_final_status(const std::string& job, const state::GetResult& result) {
--- a/src/jobs/stored_job_reader.h
+++ b/src/jobs/stored_job_reader.h
@@ -40,9 +40,9 @@
 
   // Both functions call `done` exactly once. This one reads the open record and, if there is none,
   // the final status.
-  void read(const std::string& job, Done done);
+  void read(const std::string& job, state::Urgency urgency, Done done);
   // Reads the final status only, so the result for an open job is JobNotFound.
-  void read_final_status(const std::string& job, Done done);
+  void read_final_status(const std::string& job, state::Urgency urgency, Done done);
 
  private:
   StoredJob on_final_status(const std::string& job, const state::GetResult& result);
--- a/src/jobs/upstream_walk.cc
+++ b/src/jobs/upstream_walk.cc
@@ -13,6 +13,18 @@
 
 }  // namespace
 
+state::Urgency UpstreamWalk::urgency_of(Budget budget) {
+  switch (budget) {
+    case Budget::status_queries:
+      return state::Urgency::admitted_query;
+    case Budget::controller_work:
+      return state::Urgency::final_status;
+    case Budget::dependencies:
+      break;
+  }
+  return state::Urgency::final_status;
+}
+
 void UpstreamWalk::start(const Context& context, const std::string& job, OpenJob open_job,
                          Budget budget, Done done) {
   std::make_shared<UpstreamWalk>(context, job, std::move(open_job), budget, std::move(done))->run();
@@ -42,15 +54,15 @@
       return finish(Lookup::ended);
     }
     if (!admit_read()) return finish(Lookup::unavailable);
-    return context_.reader.read(job, [walk = shared_from_this(), job](const StoredJob& stored) {
-      walk->on_read(job, stored);
-    });
+    return context_.reader.read(
+        job, urgency_of(budget_),
+        [walk = shared_from_this(), job](const StoredJob& stored) { walk->on_read(job, stored); });
   }
   finish(Lookup::open);
 }
 
 bool UpstreamWalk::admit_read() {
-  const bool admitted = budget_ == Budget::controller_work || context_.state.admit_query();
+  const bool admitted = budget_ != Budget::status_queries || context_.state.admit_query();
   return admitted && ++reads_ <= kMaxReads;
 }
 
--- a/src/jobs/upstream_walk.h
+++ b/src/jobs/upstream_walk.h
@@ -22,8 +22,10 @@
 
   // The budget that a walk's reads are charged to. `status_queries` is the capacity of the state
   // service that is left for status queries; it may be used up, and the walk then ends with
-  // `unavailable`. `controller_work` is the controllers' own work, whose reads are always admitted.
-  enum class Budget { status_queries, controller_work };
+  // `unavailable`. The reads of the others are always admitted: `controller_work` is work that a
+  // user waits for, `dependencies` is what the leader has to know of jobs that others depend on.
+  enum class Budget { status_queries, controller_work, dependencies };
+  [[nodiscard]] static state::Urgency urgency_of(Budget budget);
 
   struct Context {
     state::Client& state;
--- a/src/leader/jobs/job_request_handler.cc
+++ b/src/leader/jobs/job_request_handler.cc
@@ -72,7 +72,9 @@
     reply(answer);
   };
   if (kind == JobRequestKind::cancellation) return status_reader_.read(id, on_result);
-  status_reader_.query(id, on_result);
+  // A poll does not wait here: the node that was asked has a queue and a share of its own, and
+  // would take the reply for lost.
+  status_reader_.query_without_waiting(id, on_result);
 }
 
 // While the outcome of an upstream job's final status is unknown here, another node may have read
--- a/src/state/client.cc
+++ b/src/state/client.cc
@@ -14,13 +14,12 @@
 
 }  // namespace
 
-Client::Client(net::Runtime& runtime, net::HttpCaller& http, std::string endpoint, double rps,
-               double write_rps, Ms timeout)
+Client::Client(net::Runtime& runtime, net::HttpCaller& http, std::string endpoint,
+               const RequestRates& rates, Ms timeout)
     : http_(http),
       endpoint_(std::move(endpoint)),
       timeout_(timeout),
-      queue_(runtime, rps, write_rps,
-             [this](RequestQueue::Pending pending) { send(std::move(pending)); }) {}
+      queue_(runtime, rates, [this](RequestQueue::Pending pending) { send(std::move(pending)); }) {}
 
 void Client::get(const std::string& key, std::function<void(GetResult)> done, Urgency urgency) {
   submit(urgency, get_request(key), timeout_,
--- a/src/state/client.h
+++ b/src/state/client.h
@@ -30,10 +30,9 @@
  public:
   using Ticket = RequestQueue::Ticket;
 
-  // `rps` and `write_rps` are this controller's share of the service's limits, in requests and in
-  // changed keys per second. `timeout`: how long, in ms, the client waits for an ordinary answer.
-  Client(net::Runtime& runtime, net::HttpCaller& http, std::string endpoint, double rps,
-         double write_rps, net::Ms timeout);
+  // `timeout`: how long, in ms, the client waits for an ordinary answer.
+  Client(net::Runtime& runtime, net::HttpCaller& http, std::string endpoint,
+         const RequestRates& rates, net::Ms timeout);
 
   void get(const std::string& key, std::function<void(GetResult)> done,
            Urgency urgency = Urgency::final_status);
@@ -55,11 +54,14 @@
   void renew_lease(std::uint64_t lease, net::Ms timeout, std::function<void(Outcome)> done);
   void revoke_lease(std::uint64_t lease, std::function<void(Outcome)> done);
 
-  // Returns true if the reads that answer one status query may be sent now, and counts them against
-  // the rate of status queries. Users decide how often they query, so queries get only the rate
-  // that other requests leave unused: no query is admitted while a request waits in the queue, and
-  // fewer are admitted after the service has refused requests.
+  // Returns true if the reads that answer one status query may be sent now, with
+  // Urgency::admitted_query, and counts them against the rates of status queries. Users decide how
+  // often they query, so queries get a small rate of their own, and beyond it only what other
+  // requests leave unused: no more while a request waits in the queue, and fewer after the service
+  // has refused requests.
   [[nodiscard]] bool admit_query() { return queue_.admit_query(); }
+  // The rate of status queries that are admitted whatever else is requested.
+  [[nodiscard]] double min_queries_per_s() const { return queue_.min_queries_per_s(); }
 
   // How long, in ms, a request of this urgency would wait in the queue if it were added now.
   [[nodiscard]] net::Ms backlog(Urgency urgency) const { return queue_.backlog(urgency); }
--- a/tests/formats_requests_test.cc
+++ b/tests/formats_requests_test.cc
@@ -33,7 +33,7 @@
 struct RecordedStateClient {
   SimTime time;
   RecordingCaller http;
-  state::Client client{time, http, "state:1", 1000, 1000, 500};
+  state::Client client{time, http, "state:1", {1000, 1000, 100}, 500};
 
   void answer(int status, const char* body) {
     http.reply = {net::Reply::Result::answered, status, body};
--- a/tests/leader_parts_test.cc
+++ b/tests/leader_parts_test.cc
@@ -90,7 +90,7 @@
   fakes::SimNet net{time, 5};
   fakes::Process process{time};
   fakes::SimCaller http{net, "n0", process.alive()};
-  state::Client state{process, http, "state:1", 1000, 1000, 500};
+  state::Client state{process, http, "state:1", {1000, 1000, 100}, 500};
   cloud::Client cloud{process, http, "cloud:1", 10, 500};
   cloud::MachineCatalog catalog{process, cloud, 1000, 1000};
   config::Settings settings;
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -195,7 +195,7 @@
 TEST(Net, ProgressWritesDoNotDelayFinalStatusWrites) {
   ManualCaller http;
   fakes::SimTime time;
-  state::Client client(time, http, "state:1", 50, 10, 1000);
+  state::Client client(time, http, "state:1", {50, 10, 5}, 1000);
   for (int i = 0; i < 60; ++i) {
     state::Txn txn;
     txn.changes.push_back({"work/wk-1/" + std::to_string(i), wire::Json::object(), 0});
--- a/tests/record_store_test.cc
+++ b/tests/record_store_test.cc
@@ -22,7 +22,7 @@
         service(time),
         process(time),
         http(net, "n0", process.alive()),
-        client(process, http, "state:1", 1000, 1000, 500),
+        client(process, http, "state:1", {1000, 1000, 100}, 500),
         records(process, client, {1000, 1000, 8, 10},
                 {.render = [this](const std::string&, const RecordId&) { return rendered; },
                  .on_fenced = [this] { fenced = true; },
@@ -97,7 +97,7 @@
 // A queued progress write must not delay the final status of its job. The store withdraws the
 // progress write and sends it in the same transaction as the final status.
 TEST_F(RecordStoreTest, FinalStatusDoesNotWaitForQueuedProgressWriteOfItsJob) {
-  state::Client rate_limited_client(process, http, "state:1", 1000, 4, 500);
+  state::Client rate_limited_client(process, http, "state:1", {1000, 4, 100}, 500);
   RecordStore rate_limited_store(
       process, rate_limited_client, {1000, 4, 8, 10},
       {.render = [this](const std::string&, const RecordId&) { return rendered; },
--- a/tests/resource_budget_test.cc
+++ b/tests/resource_budget_test.cc
@@ -35,11 +35,18 @@
 
 TEST(ResourceBudget, RatesAreSharesOfTheLowerOfCurrentAndNextLimits) {
   const auto budget = ResourceBudget::for_settings(settings_with_sockets(1024));
-  EXPECT_DOUBLE_EQ(budget.state_requests_per_s, 42);
-  EXPECT_DOUBLE_EQ(budget.state_changes_per_s, 40);
+  EXPECT_DOUBLE_EQ(budget.state_rates.requests_per_s, 42);
+  EXPECT_DOUBLE_EQ(budget.state_rates.writes_per_s, 40);
   EXPECT_DOUBLE_EQ(budget.cloud_requests_per_s, 7);
 }
 
+TEST(ResourceBudget, NodesShareTheReservedRateOfStatusQueries) {
+  config::Settings settings = settings_with_sockets(1024);
+  EXPECT_DOUBLE_EQ(ResourceBudget::for_settings(settings).state_rates.query_reads_per_s, 15);
+  settings.peers.resize(2);
+  EXPECT_DOUBLE_EQ(ResourceBudget::for_settings(settings).state_rates.query_reads_per_s, 5);
+}
+
 TEST(ResourceBudget, CacheOfFinalStatusesFitsAnEighthOfTheMemory) {
   const auto budget = ResourceBudget::for_settings(settings_with_sockets(1024));
   EXPECT_EQ(budget.cached_final_statuses, 16384U);
