Read dependencies after what users wait for

Cause: a new leader reads what became of each job that an open one names and that is not open, with the urgency of submissions. Some thousand of them make every submission wait, or be answered 503, for as long as they take. Change: these reads have the urgency of assignments, which is what they hold up. Why it works: a submission waits for nothing less urgent.

--- a/src/jobs/upstream_walk.cc
+++ b/src/jobs/upstream_walk.cc
@@ -22,7 +22,7 @@
     case Budget::dependencies:
       break;
   }
-  return state::Urgency::final_status;
+  return state::Urgency::assignment;
 }
 
 void UpstreamWalk::start(const Context& context, const std::string& job, OpenJob open_job,
--- a/tests/status_queries_test.cc
+++ b/tests/status_queries_test.cc
@@ -80,5 +80,25 @@
   cluster.expect_no_violations();
 }
 
+// Takes every request and answers none.
+class SilentCaller : public net::HttpCaller {
+ public:
+  void call(net::Call /*call*/, net::ReplyFn /*done*/) override {}
+};
+
+// Guards against submissions that are refused for as long as a new leader reads what became of the
+// jobs that others depend on.
+TEST(StatusQueries, ReadsOfDependenciesDelayNoSubmission) {
+  SimTime time;
+  SilentCaller http;
+  state::Client client(time, http, "state:1", {50, 10, 4}, 500);
+  jobs::JobStatusReader reader(time, client, 100, 500);
+  for (int i = 0; i < 1000; ++i)
+    reader.read_final_status_first("wk-" + std::to_string(i), [](const jobs::JobLookup&) {});
+
+  EXPECT_GT(client.backlog(state::Urgency::assignment), 15000);
+  EXPECT_EQ(client.backlog(state::Urgency::final_status), 0);
+}
+
 }  // namespace
 }  // namespace seampass::fakes
