Send starts only in replies to heartbeats, so that no copy of one starts a task

Cause: a machine ends and is back at once under its name; a late copy of a start command that its former life had executed reaches the new one, which knows no attempt and no epoch and begins with incarnation 1 again. Callers saw (elsewhere) a task on two machines and a cancelled task that ran again. docs/safety.md assumed that nothing sent to a former life reaches the next. Change: no start is sent to /commands. The leader asks the worker for a heartbeat with the start of a task that the job does not have (no_such, forgotten with the reply), and the reply has the starts, 500 at most. So the guards against replayed starts go: replayable_starts, may_forget, unreaped_attempts, machines_to_avoid and anti_affinity, starts in flight and the last command in the proofs of absence; the line `start` has no path any more. The fake worker reports changes within half a second and refuses tasks that a job does not have, as the protocol says. Tests: CopiesOfStarts and Starts are new. Kept and passing without the guards: all others of DuplicateDelivery, MachineRestart, CancelledJobRecords. Replaced, since what they assert is gone: - DuplicateDelivery.OfMany...: at least one ended attempt is remembered, at most 12 -> none is. - MachineRestart.TasksStartedAfterwards...: the new life was given a start by command -> NothingStartsBeforeItsHeartbeatsAreAnswered: it is given none for 51 s, the task runs elsewhere, the rest as before. - AttemptTrackerTest: starts in flight, last command -> a later heartbeat moves the lease's end. - sched builders, model and pass test: anti-affinity does not exist. - CancelledJobRecords.Quota... and GangStartsAgain...: heartbeats are refused, so that starts stay unsent as before; with the revoked quota freed at once the first fails again. Evidence: on the code before, 50 of the 72 cases of CopiesOfStarts fail (20 started_cancelled, 21 ran_twice, the rest starts of tasks that are done): cancelled 6 of 12, moved 12, done 9, gang cancelled 8, gang moved 9, dependent cancelled 6; same leader 16, next 19, back at once 15. With the change all pass. Why it works: a worker discards a reply that is late, and a reply has no other receiver; there is nothing left to copy. Measured: ctest 446 of 446.

--- a/src/leader/attempts/attempt_launcher.cc
+++ b/src/leader/attempts/attempt_launcher.cc
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <set>
 #include <utility>
 
 #include "leader/audit_log.h"
@@ -10,14 +11,6 @@
 namespace seampass::leader {
 
 using state::Urgency;
-using wire::Verb;
-
-namespace {
-// Maximum number of attempts on one machine whose start a delayed copy of the command may execute
-// once more. The worker must not forget such an attempt, so each of them makes the worker's reports
-// longer.
-constexpr std::size_t kMaxReplayableStarts = 8;
-}  // namespace
 
 AttemptLauncher::AttemptLauncher(const LeaderContext& context, const JobTable& jobs,
                                  AttemptTracker& tracker, TaskRecordWriter& task_records,
@@ -75,50 +68,28 @@
          context_.election.lease_valid();
 }
 
-// Starts these attempts, whose task records are durable now.
+// The task records of these attempts are durable now, so the reply to the next heartbeat of each
+// machine contains their starts. The machine's worker is asked to send that heartbeat at once.
 void AttemptLauncher::on_assignment_durable(const std::string& id,
                                             const std::vector<AttemptId>& assigned) {
-  if (!jobs_.contains(id)) return;
-  std::map<Machine*, std::vector<wire::Command>, ByName> by_machine;
+  const JobRecord* job = jobs_.find(id);
+  if (!job) return;
+  std::set<Machine*, ByName> machines;
   std::vector<TaskAttempt*> unsent;
   for (const AttemptId& attempt_id : assigned) {
     TaskAttempt* attempt = jobs_.find_attempt(attempt_id);
     if (!attempt) continue;
     attempt->durable = true;
     if (!may_start(*attempt)) continue;
-    Machine& machine = *attempt->machine;
-    // A delayed copy of a start that is sent through /commands may execute it once more, so the
-    // worker must remember the attempt for a long time. Starts beyond the maximum are sent in the
-    // reply to the next heartbeat instead: the worker discards an old reply, so no copy of it is
-    // executed late.
-    if (machine.replayable_starts.size() >= kMaxReplayableStarts) continue;
-    if (machine.incarnation != attempt->incarnation) {
+    if (attempt->machine->incarnation == attempt->incarnation) {
+      machines.insert(attempt->machine);
+    } else {
       // No start was sent, and the incarnation that the attempt was assigned to is over.
       unsent.push_back(attempt);
-      continue;
     }
-    attempt->start_sent = true;
-    attempt->start_sent_at = context_.runtime.now();
-    ++attempt->starts_in_flight;
-    audit::start(attempt_id, machine.name, machine.incarnation, context_.election.epoch(),
-                 audit::StartPath::command);
-    append_start(machine, attempt_id, by_machine[&machine]);
   }
-  for (const auto& [machine, commands] : by_machine) commands_.send(*machine, commands);
+  for (Machine* machine : machines) commands_.request_heartbeat(*machine, job->spec);
   attempts_.release_lost(unsent, audit::AbsenceProof::never_sent);
 }
 
-// Appends the start, preceded by commands to forget earlier attempts of the same task that exited
-// on this machine. A worker that still knows one of them would end the new attempt with `busy`.
-// Forgetting them loses nothing: the task record that is durable now no longer contains them. An
-// attempt whose start a delayed copy may still execute is not forgotten.
-void AttemptLauncher::append_start(const Machine& machine, const AttemptId& id,
-                                   std::vector<wire::Command>& commands) {
-  for (auto exited = machine.exited.lower_bound({id.job, id.task, 0});
-       exited != machine.exited.end() && exited->task_id() == id.task_id(); ++exited)
-    if (!machine.replayable_starts.contains(*exited))
-      commands.push_back(command_for(Verb::forget, *exited));
-  commands.push_back(command_for(Verb::start, id));
-}
-
 }  // namespace seampass::leader
--- a/src/leader/attempts/attempt_launcher.h
+++ b/src/leader/attempts/attempt_launcher.h
@@ -1,8 +1,8 @@
 // Launches attempts of tasks.
 //
-// A launch first charges each attempt to its machine and writes it to a task record. The start
-// command is sent only once that record is durable. The next leader therefore finds every attempt
-// that may be running in the task records.
+// A launch first charges each attempt to its machine and writes it to a task record. The start is
+// sent only once that record is durable, in the reply to a heartbeat of the machine's worker. The
+// next leader therefore finds every attempt that may be running in the task records.
 //
 // The class owns no state. It is called on the event loop's thread, between the start and the end
 // of a term.
@@ -38,8 +38,6 @@
                                                       std::uint64_t number) const;
   void on_assignment_durable(const std::string& id, const std::vector<AttemptId>& assigned);
   [[nodiscard]] bool may_start(const TaskAttempt& attempt) const;
-  static void append_start(const Machine& machine, const AttemptId& id,
-                           std::vector<wire::Command>& commands);
 
   LeaderContext context_;
   const JobTable& jobs_;
--- a/src/leader/attempts/attempt_lifecycle.cc
+++ b/src/leader/attempts/attempt_lifecycle.cc
@@ -133,8 +133,6 @@
   Machine& machine = *attempt.machine;
   delay_retry(job, machine, status.cause);
   const std::string id = job.spec.id;
-  if (machine.replayable_starts.contains(attempt.id()))
-    job.unreaped_attempts.insert({attempt.task, machine.name});
   release(attempt);
   if (JobRecord* remaining = jobs_.find(id)) stop_incomplete_gang(*remaining);
 }
--- a/src/leader/attempts/attempt_tracker.cc
+++ b/src/leader/attempts/attempt_tracker.cc
@@ -100,25 +100,15 @@
     // heartbeat. The worker discards a reply that is older than kMaxReplyAge.
     const bool no_start_in_reply =
         attempt->reported || runtime_.now() - attempt->start_sent_at > kMaxReplyAge;
-    if (attempt->missing && attempt->starts_in_flight == 0 && no_start_in_reply)
-      ids.push_back(attempt->id());
+    if (attempt->missing && no_start_in_reply) ids.push_back(attempt->id());
   }
   return ids;
 }
 
 bool AttemptTracker::lease_expired(const Machine& machine, Ms term_start, bool epoch_confirmed,
                                    const ExpiryTimes& times) const {
-  // A worker that exits and restarts at once begins a lease of its own. A task that a command has
-  // started since then may run until that lease expires, so the last command that may have been
-  // executed counts like a heartbeat.
   const Ms now = runtime_.now();
-  if (now - std::max(machine.last_heartbeat_at, machine.last_command_at) <=
-      times.since_last_contact)
-    return false;
-  const bool in_flight =
-      std::any_of(machine.attempts.begin(), machine.attempts.end(),
-                  [](const auto& entry) { return entry.second->starts_in_flight > 0; });
-  if (in_flight) return false;
+  if (now - machine.last_heartbeat_at <= times.since_last_contact) return false;
   // Until a worker has shown this leader's epoch, the previous leader may have been the last to
   // renew the worker's lease, and this leader does not know when.
   return epoch_confirmed || now - term_start > times.since_term_start;
--- a/src/leader/attempts/attempt_tracker.h
+++ b/src/leader/attempts/attempt_tracker.h
@@ -25,7 +25,7 @@
 // Minimum times after which a worker's lease has certainly expired and the worker has killed its
 // tasks.
 struct ExpiryTimes {
-  // Since the machine's last heartbeat, or the last command that it may have executed.
+  // Since the machine's last heartbeat that may have been answered.
   net::Ms since_last_contact = 0;
   // Since this leader's term began. Required in addition for a worker that has not shown this
   // leader's epoch.
--- a/src/leader/fleet/machine.h
+++ b/src/leader/fleet/machine.h
@@ -42,10 +42,10 @@
   // Incarnation and sequence number of the latest heartbeat that showed this leader's epoch, and of
   // the latest heartbeat that did not.
   std::pair<std::uint64_t, std::uint64_t> last_heartbeat, last_unconfirmed_heartbeat;
-  // The last time at which a start was sent, or a command was answered that the worker executed or
-  // may have executed; -1 if there is none.
-  net::Ms last_command_at = -1;
   bool inspecting = false;  // an inspection request is in flight
+  // The worker was asked to send a heartbeat, and no heartbeat has been answered with commands
+  // since.
+  bool heartbeat_requested = false;
   // When the cloud preempts this spot machine, once the cloud has announced it.
   std::optional<net::Ms> preemption_at;
   net::Ms idle_since = 0;
@@ -60,21 +60,12 @@
   std::set<std::string> images;
   // Attempts that the worker's latest report shows as ended; the worker still remembers them.
   std::set<AttemptId> exited;
-  // Starts that were sent to /commands in this incarnation. Until the incarnation changes, the
-  // worker may still execute each of them late, or a late copy of it may arrive. The worker ignores
-  // a repeated start for as long as it remembers the attempt.
-  std::set<AttemptId> replayable_starts;
   // The machine's slot in the scheduling snapshot, and whether the machine has changed since its
   // view was built.
   std::size_t slot = kNoSlot;
   bool view_stale = true;
   static constexpr std::size_t kNoSlot = static_cast<std::size_t>(-1);
 
-  // True if a start of this task, from any of its attempts, may still reach the worker late.
-  [[nodiscard]] bool may_replay_start(const TaskId& task) const {
-    const auto first = replayable_starts.lower_bound({task.job, task.task, 0});
-    return first != replayable_starts.end() && first->task_id() == task;
-  }
   void note_heartbeat(net::Ms now) {
     last_heartbeat_at = now;
     if (!first_heartbeat_at) first_heartbeat_at = now;
--- a/src/leader/jobs/job_record.h
+++ b/src/leader/jobs/job_record.h
@@ -38,8 +38,7 @@
   bool reported = false;    // a report of the worker has listed the attempt
   // No start was sent, and none will be. The task records are written without the attempt.
   bool revoked = false;
-  bool missing = false;      // a report did not list it; its absence is not proven yet
-  int starts_in_flight = 0;  // starts sent to /commands whose outcome is not known yet
+  bool missing = false;  // a report did not list it; its absence is not proven yet
   net::Ms start_sent_at = 0;
   wire::TaskState state = wire::TaskState::fetching;
   net::Ms running_since = 0;
@@ -78,9 +77,6 @@
   net::Ms retry_at = 0;                           // no task is started before this time
   int failures = 0;                               // attempts that failed since a task was last done
   std::set<std::string> failed_on;                // machines on which they failed
-  // Task and machine of each attempt that ended without a result and that the worker must not
-  // forget yet, since a delayed copy of its start may still be executed.
-  std::set<std::pair<std::uint32_t, std::string>> unreaped_attempts;
   // Of gangs only: the reserved machine of each task.
   std::vector<std::pair<std::uint32_t, std::string>> reservations;
   net::Ms reservations_since = 0;
--- a/src/leader/leader_term.cc
+++ b/src/leader/leader_term.cc
@@ -27,7 +27,7 @@
       scheduling_loop_({runtime, jobs_, attempt_tracker_, dependency_tracker_.graph(), catalog,
                         settings, operator_settings},
                        state, election, fleet_, *this),
-      command_dispatcher_(context_, workers_, fleet_, jobs_,
+      command_dispatcher_(context_, workers_, fleet_,
                           [this](Machine& machine, const wire::Heartbeat& report) {
                             reconciler_.reconcile(machine, report, ReportSource::command_reply);
                           }),
@@ -46,7 +46,7 @@
           context_,
           {jobs_, fleet_, attempt_tracker_, task_records_, attempt_lifecycle_, absence_verifier_},
           reconciler_hooks()),
-      heartbeat_handler_(context_, jobs_, fleet_, task_records_, status_reader, reconciler_),
+      heartbeat_handler_(context_, fleet_, task_records_, reconciler_),
       job_watcher_(context_, state, watcher_hooks()),
       recovery_(context_, state,
                 {jobs_, records_, task_records_, fleet_, attempt_tracker_, attempt_lifecycle_,
--- a/src/leader/scheduling/job_views.cc
+++ b/src/leader/scheduling/job_views.cc
@@ -54,7 +54,6 @@
     view.within_guarantee = guaranteed.contains(job.get());
     view.fair_share_rank = view.within_guarantee ? 0 : 1;
     view.blocked = now < job->retry_at;
-    view.anti_affinity = machines_to_avoid(*job);
     if (!view.blocked) apply_reservations(*job, view, snapshot);
     snapshot.jobs.push_back(std::move(view));
     jobs.push_back(job.get());
@@ -101,25 +100,6 @@
   return result;
 }
 
-// Returns the machines on which a task of the job must not be placed, as pairs of task and machine
-// slot. A late copy of the start of an earlier attempt may still reach these machines. The leader
-// therefore has to keep the record of that earlier attempt, and that record would conflict with a
-// new attempt of the same task on the same machine.
-std::set<std::pair<std::uint32_t, std::size_t>> JobViews::machines_to_avoid(JobRecord& job) {
-  std::set<std::pair<std::uint32_t, std::size_t>> anti_affinity;
-  for (auto unreaped = job.unreaped_attempts.begin(); unreaped != job.unreaped_attempts.end();) {
-    const auto& [task, name] = *unreaped;
-    const Machine* machine = fleet_.find(name);
-    if (!machine || !machine->may_replay_start({job.spec.id, task})) {
-      unreaped = job.unreaped_attempts.erase(unreaped);
-      continue;
-    }
-    if (machine->slot != Machine::kNoSlot) anti_affinity.insert({task, machine->slot});
-    ++unreaped;
-  }
-  return anti_affinity;
-}
-
 // Subtracts the capacity that the gang has reserved from the snapshot before the pass places any
 // task.
 void JobViews::apply_reservations(const JobRecord& job, sched::JobView& view,
--- a/src/leader/scheduling/job_views.h
+++ b/src/leader/scheduling/job_views.h
@@ -34,7 +34,6 @@
 
   [[nodiscard]] Extent extent_of(const JobRecord& job) const;
   [[nodiscard]] std::set<const JobRecord*> jobs_within_guarantee() const;
-  [[nodiscard]] std::set<std::pair<std::uint32_t, std::size_t>> machines_to_avoid(JobRecord& job);
   void apply_reservations(const JobRecord& job, sched::JobView& view,
                           sched::ClusterSnapshot& snapshot);
 
--- a/src/leader/workers/command_dispatcher.cc
+++ b/src/leader/workers/command_dispatcher.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "leader/audit_log.h"
+#include "leader/jobs/job_record.h"
 
 namespace seampass::leader {
 
@@ -12,12 +13,8 @@
 using wire::Verb;
 
 CommandDispatcher::CommandDispatcher(const LeaderContext& context, workers::Client& workers,
-                                     Fleet& fleet, const JobTable& jobs, OnReport on_report)
-    : context_(context),
-      workers_(workers),
-      fleet_(fleet),
-      jobs_(jobs),
-      on_report_(std::move(on_report)) {}
+                                     Fleet& fleet, OnReport on_report)
+    : context_(context), workers_(workers), fleet_(fleet), on_report_(std::move(on_report)) {}
 
 void CommandDispatcher::send_stops(const std::vector<TaskAttempt*>& attempts) {
   std::map<Machine*, std::vector<wire::Command>, ByName> by_machine;
@@ -28,37 +25,39 @@
   for (const auto& [machine, commands] : by_machine) send(*machine, commands);
 }
 
+// A worker sends a heartbeat when its list of tasks changes. The command is the start of a task
+// that the job does not have: the worker refuses it and lists it as exited, until the reply to that
+// heartbeat makes the worker forget it. Each request names another such task, because a task that
+// the worker still lists would change nothing. A job of the largest size has no such task, since
+// every index has to be one that heartbeats may contain; its starts wait for the next heartbeat.
+void CommandDispatcher::request_heartbeat(Machine& machine, const wire::Job& job) {
+  if (machine.heartbeat_requested || !accepts_commands(machine) || job.tasks >= wire::kMaxTasks)
+    return;
+  machine.heartbeat_requested = true;
+  const std::uint32_t nonexistent_task =
+      job.tasks + heartbeat_requests_++ % (wire::kMaxTasks - job.tasks);
+  send(machine, {command_for(Verb::start, {job.id, nonexistent_task, context_.election.epoch()})});
+}
+
+bool CommandDispatcher::accepts_commands(const Machine& machine) {
+  return !machine.addr.empty() && machine.registered;
+}
+
 void CommandDispatcher::send(Machine& machine, const std::vector<wire::Command>& commands) {
-  if (machine.addr.empty() || !machine.registered) return;
-  std::vector<AttemptId> start_ids;
-  for (const wire::Command& command : commands)
-    if (command.verb == Verb::start) start_ids.push_back(id_of(command));
-  machine.replayable_starts.insert(start_ids.begin(), start_ids.end());
-  // A worker that has just begun a new incarnation runs the tasks that it is commanded to start
-  // until its own lease expires, whether or not its reply arrives. Sending a start therefore counts
-  // as contact with the worker (AttemptTracker::lease_expired).
-  if (!start_ids.empty()) machine.last_command_at = context_.runtime.now();
+  if (!accepts_commands(machine)) return;
   workers_.send(machine.addr, context_.election.epoch(), machine.incarnation, commands,
-                context_.term.callbacks().wrap([this, name = machine.name, start_ids](
-                                                   workers::CommandResult outcome,
-                                                   const std::optional<wire::Heartbeat>& report) {
-                  on_reply(name, start_ids, outcome, report);
-                }));
+                context_.term.callbacks().wrap(
+                    [this, name = machine.name](workers::CommandResult outcome,
+                                                const std::optional<wire::Heartbeat>& report) {
+                      on_reply(name, outcome, report);
+                    }));
 }
 
-void CommandDispatcher::on_reply(const std::string& name, const std::vector<AttemptId>& start_ids,
-                                 workers::CommandResult outcome,
+void CommandDispatcher::on_reply(const std::string& name, workers::CommandResult outcome,
                                  const std::optional<wire::Heartbeat>& report) {
-  for (const AttemptId& id : start_ids)
-    if (TaskAttempt* attempt = jobs_.find_attempt(id)) --attempt->starts_in_flight;
   Machine* machine = fleet_.find(name);
   if (!machine) return;
-  // The commands were certainly not executed, and no late copy of them will be executed.
-  if (outcome == workers::CommandResult::not_sent || outcome == workers::CommandResult::rejected)
-    for (const AttemptId& id : start_ids) machine->replayable_starts.erase(id);
-  const bool may_be_executed = outcome == workers::CommandResult::unknown && !start_ids.empty();
-  if (outcome == workers::CommandResult::executed || may_be_executed)
-    machine->last_command_at = context_.runtime.now();
+  if (outcome != workers::CommandResult::executed) machine->heartbeat_requested = false;
   if (outcome == workers::CommandResult::unknown || outcome == workers::CommandResult::not_sent) {
     on_unanswered(*machine);
   } else {
--- a/src/leader/workers/heartbeat_handler.cc
+++ b/src/leader/workers/heartbeat_handler.cc
@@ -3,17 +3,22 @@
 #include <utility>
 
 #include "leader/audit_log.h"
+#include "leader/jobs/job_record.h"
 #include "wire/codec.h"
 
 namespace seampass::leader {
 
 using net::Ms;
-using wire::ExitCause;
 using wire::TaskState;
 using wire::Verb;
 
 namespace {
 
+// The maximum number of starts in one reply. A start takes up to 100 bytes, and the protocol limits
+// a line of a response to 64 KiB. The worker reports its new tasks at once, and the next reply
+// contains further starts.
+constexpr std::size_t kMaxStartsPerReply = 500;
+
 HeartbeatReply service_unavailable() { return {503, "{}"}; }
 
 // Copies the machine's address, type, zone and spot flag from the heartbeat, if the cloud's list of
@@ -26,18 +31,23 @@
   machine.spot = heartbeat.spot;
 }
 
+// Appends the start, preceded by commands to forget earlier attempts of the same task that exited
+// on this machine. A worker that still knows one of them would end the new attempt with `busy`.
+// Forgetting them loses nothing: the task record that is durable now no longer contains them.
+void append_start(const Machine& machine, const AttemptId& id,
+                  std::vector<wire::Command>& commands) {
+  for (auto exited = machine.exited.lower_bound({id.job, id.task, 0});
+       exited != machine.exited.end() && exited->task_id() == id.task_id(); ++exited)
+    commands.push_back(command_for(Verb::forget, *exited));
+  commands.push_back(command_for(Verb::start, id));
+}
+
 }  // namespace
 
-HeartbeatHandler::HeartbeatHandler(const LeaderContext& context, const JobTable& jobs, Fleet& fleet,
+HeartbeatHandler::HeartbeatHandler(const LeaderContext& context, Fleet& fleet,
                                    const TaskRecordWriter& task_records,
-                                   jobs::JobStatusReader& status_reader,
                                    HeartbeatReconciler& reconciler)
-    : context_(context),
-      jobs_(jobs),
-      fleet_(fleet),
-      task_records_(task_records),
-      status_reader_(status_reader),
-      reconciler_(reconciler) {}
+    : context_(context), fleet_(fleet), task_records_(task_records), reconciler_(reconciler) {}
 
 HeartbeatReply HeartbeatHandler::handle(const wire::Heartbeat& heartbeat) {
   Election& election = context_.election;
@@ -89,21 +99,6 @@
   return {200, wire::heartbeat_answer(context_.election.epoch(), {})};
 }
 
-// True if the worker may be commanded to forget an attempt that has exited. A worker ignores a late
-// copy of a start for as long as it knows the attempt. If it has forgotten the attempt, the
-// copy starts the attempt again. An attempt that ended without a result could then run while
-// another attempt of the task runs elsewhere, and any attempt of a cancelled job could run again.
-// An attempt that is done would only be reported as done again, but its job may still be cancelled.
-// It may therefore be forgotten only once the job's final status is `done`.
-bool HeartbeatHandler::may_forget(const Machine& machine, const wire::TaskStatus& task) const {
-  if (!machine.replayable_starts.contains(id_of(task))) return true;
-  if (task.cause != ExitCause::done) return false;
-  const JobRecord* job = jobs_.find(task.job);
-  if (job && !job->ended()) return false;
-  const auto final_status = status_reader_.final_status(task.job);
-  return final_status && final_status->stage == wire::Stage::done;
-}
-
 std::vector<wire::Command> HeartbeatHandler::commands_for(Machine& machine,
                                                           const wire::Heartbeat& heartbeat) const {
   std::vector<wire::Command> commands;
@@ -114,10 +109,8 @@
     const TaskAttempt* attempt = find_attempt_on(machine, id);
     if (task.state == TaskState::exited) {
       // The worker may forget the attempt only once the task record without it is durable.
-      if (!attempt && task_records_.record_settled(id.job, id.task) && may_forget(machine, task)) {
-        machine.replayable_starts.erase(id);
+      if (!attempt && task_records_.record_settled(id.job, id.task))
         commands.push_back(command_for(Verb::forget, id));
-      }
       continue;
     }
     if (!attempt) {
@@ -127,6 +120,7 @@
     reported.insert(id.task_id());
     if (attempt->stop_requested) commands.push_back(stop_command(*attempt, now));
   }
+  machine.heartbeat_requested = false;
   if (context_.election.lease_valid()) append_starts(machine, reported, commands);
   return commands;
 }
@@ -139,26 +133,26 @@
   return command_for(Verb::stop, attempt.id(), overdue ? 0 : attempt.termination_grace_s);
 }
 
-// Appends the starts of attempts that no report has listed yet. Starts in the reply to a
-// heartbeat need no guard against late copies: the worker discards a reply that is older than a few
-// seconds. No attempt of a job that has ended is started, not even to be stopped at once: its user
-// may have been told of the cancellation. Such an attempt is inspected instead
-// (AttemptTracker::mark_missing).
+// Appends the starts of attempts that no report has listed yet. No copy of these starts is executed
+// late: the worker discards a reply that is older than a few seconds. No attempt of a job that has
+// ended is started, not even to be stopped at once: its user may have been told of the
+// cancellation. Such an attempt is inspected instead (AttemptTracker::mark_missing).
 void HeartbeatHandler::append_starts(Machine& machine, const std::set<TaskId>& reported,
                                      std::vector<wire::Command>& commands) const {
+  std::size_t starts = 0;
   for (const auto& [task, attempt] : machine.attempts) {
     if (reported.contains(task) || attempt->reported || !attempt->durable) continue;
-    if (attempt->starts_in_flight > 0 || attempt->incarnation != machine.incarnation) continue;
+    if (attempt->incarnation != machine.incarnation) continue;
     if (attempt->job->ended() || attempt->revoked) continue;
     if (!attempt->job->active() && !attempt->stop_requested) continue;
+    if (++starts > kMaxStartsPerReply) return;
     attempt->start_sent_at = context_.runtime.now();
-    audit::start(attempt->id(), machine.name, machine.incarnation, context_.election.epoch(),
-                 audit::StartPath::heartbeat);
-    commands.push_back(command_for(Verb::start, attempt->id()));
+    audit::start(attempt->id(), machine.name, machine.incarnation, context_.election.epoch());
+    append_start(machine, attempt->id(), commands);
     if (attempt->stop_requested) {
-      // No report has listed this attempt yet, and its start may arrive at any time. The reply
-      // therefore starts and stops the attempt in one message. The worker then knows the attempt
-      // and ignores a late start, and its next heartbeat lists the attempt as exited.
+      // No report has listed this attempt yet, and its start may be on its way in the reply to the
+      // previous heartbeat. This reply therefore starts and stops the attempt in one message. The
+      // next heartbeat then lists the attempt as exited.
       commands.push_back(command_for(Verb::stop, attempt->id()));
     } else {
       attempt->start_sent = true;
--- a/src/leader/workers/heartbeat_handler.h
+++ b/src/leader/workers/heartbeat_handler.h
@@ -11,10 +11,8 @@
 #include <string>
 #include <vector>
 
-#include "jobs/job_status_reader.h"
 #include "leader/fleet/fleet.h"
 #include "leader/ids.h"
-#include "leader/jobs/job_table.h"
 #include "leader/leader_context.h"
 #include "leader/records/task_record_writer.h"
 #include "leader/workers/heartbeat_reconciler.h"
@@ -31,8 +29,7 @@
 
 class HeartbeatHandler {
  public:
-  HeartbeatHandler(const LeaderContext& context, const JobTable& jobs, Fleet& fleet,
-                   const TaskRecordWriter& task_records, jobs::JobStatusReader& status_reader,
+  HeartbeatHandler(const LeaderContext& context, Fleet& fleet, const TaskRecordWriter& task_records,
                    HeartbeatReconciler& reconciler);
 
   // Returns the reply to a heartbeat that a worker has sent.
@@ -41,7 +38,6 @@
  private:
   [[nodiscard]] HeartbeatReply reply_to_unconfirmed(Machine& machine,
                                                     const wire::Heartbeat& heartbeat) const;
-  [[nodiscard]] bool may_forget(const Machine& machine, const wire::TaskStatus& task) const;
   [[nodiscard]] std::vector<wire::Command> commands_for(Machine& machine,
                                                         const wire::Heartbeat& heartbeat) const;
   [[nodiscard]] wire::Command stop_command(const TaskAttempt& attempt, net::Ms now) const;
@@ -49,10 +45,8 @@
                      std::vector<wire::Command>& commands) const;
 
   LeaderContext context_;
-  const JobTable& jobs_;
   Fleet& fleet_;
   const TaskRecordWriter& task_records_;
-  jobs::JobStatusReader& status_reader_;
   HeartbeatReconciler& reconciler_;
 };
 
--- a/src/leader/workers/heartbeat_reconciler.cc
+++ b/src/leader/workers/heartbeat_reconciler.cc
@@ -55,7 +55,6 @@
 }
 
 void HeartbeatReconciler::update_machine(Machine& machine, const wire::Heartbeat& report) const {
-  if (report.incarnation > machine.incarnation) machine.replayable_starts.clear();
   machine.incarnation = report.incarnation;
   machine.sequence = report.sequence;
   machine.shown_epoch = report.token;
--- a/src/sched/cluster_snapshot.h
+++ b/src/sched/cluster_snapshot.h
@@ -94,11 +94,7 @@
   std::uint32_t task_count = 0;  // number of tasks in the whole job
   TaskRanges pending;            // tasks to place; possibly only the first ones
   ZoneCounts placed;             // tasks charged to a machine, by any of their attempts
-  // Pairs of a task and the index of a machine that the task must avoid. That machine still has a
-  // record of an earlier attempt of the task, because a delayed copy of that attempt's start may
-  // yet arrive there. A new attempt on the same machine would conflict with it.
-  std::set<std::pair<std::uint32_t, std::size_t>> anti_affinity;
-  bool blocked = false;  // no task of the job may be placed in this pass
+  bool blocked = false;          // no task of the job may be placed in this pass
   // A gang whose reservations timed out once: it no longer reserves resources for only some tasks.
   bool all_or_nothing = false;
   // The only zone where a large gang may start or reserve resources; no value: no such restriction.
--- a/src/sched/preemption.cc
+++ b/src/sched/preemption.cc
@@ -15,11 +15,6 @@
 
 bool is_gang(const JobView& job) { return job.kind == wire::JobKind::gang; }
 
-bool has_anti_affinity(const JobView& job, std::size_t machine) {
-  return std::any_of(job.anti_affinity.begin(), job.anti_affinity.end(),
-                     [machine](const auto& avoided) { return avoided.second == machine; });
-}
-
 }  // namespace
 
 std::vector<Preemption> Preemptor::plan_preemptions(std::size_t job_index) {
@@ -64,7 +59,7 @@
 
 void Preemptor::add_option(Search& search, std::size_t machine_index) const {
   const MachineView& machine = snapshot_.machines[machine_index];
-  if (machine.preemptible_tasks.empty() || has_anti_affinity(search.job, machine_index)) return;
+  if (machine.preemptible_tasks.empty()) return;
   Option option = plan_stops(search, machine);
   if (option.tasks_to_stop.empty() || option.new_tasks == 0) return;
   option.machine = machine_index;
--- a/src/sched/task_ranges.h
+++ b/src/sched/task_ranges.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <initializer_list>
-#include <iterator>
 #include <set>
 #include <vector>
 
@@ -23,12 +22,6 @@
  public:
   class Iterator {
    public:
-    using iterator_category = std::forward_iterator_tag;
-    using value_type = std::uint32_t;
-    using difference_type = std::ptrdiff_t;
-    using pointer = const std::uint32_t*;
-    using reference = std::uint32_t;
-
     Iterator() = default;
     std::uint32_t operator*() const { return range_->first + offset_; }
     Iterator& operator++() {
--- a/tests/fakes/invariant_checker.h
+++ b/tests/fakes/invariant_checker.h
@@ -55,6 +55,7 @@
   std::map<TaskKey, std::string> running_on;  // the machine that currently runs each task
   std::map<TaskKey, int> starts;              // how many times each task was started
   std::set<TaskKey> finished;
+  std::size_t longest_reply = 0;  // bytes of the longest reply to a heartbeat
   std::vector<std::string> violations;
 
   void task_started(const TaskKey& task, const std::string& machine, Ms now);
--- a/tests/fakes/worker.h
+++ b/tests/fakes/worker.h
@@ -62,6 +62,9 @@
 
   std::string heartbeat_body();
   void send_heartbeat();
+  void schedule_heartbeat(Ms pause);
+  // Sends the next heartbeat early, because the list of tasks has changed.
+  void report_change();
   // Handles the reply to a heartbeat. Returns the pause before the next heartbeat.
   Ms on_heartbeat_reply(const net::Reply& reply, Ms sent, std::uint64_t incarnation);
   // Directs heartbeats to the node that the reply names as leader, or to the next node if it names
@@ -93,6 +96,11 @@
   std::vector<std::string> nodes_;
   std::shared_ptr<bool> alive_;
   std::size_t node_index_ = 0;  // index of the node that receives the heartbeats
+  bool heartbeat_in_flight_ = false;
+  bool change_unreported_ = false;
+  bool last_heartbeat_answered_ = false;
+  Ms last_heartbeat_at_ = 0;
+  std::uint64_t heartbeat_schedule_ = 0;  // identifies the latest schedule of the next heartbeat
   std::uint64_t incarnation_ = 1;
   std::uint64_t sequence_ = 0;  // sequence number of the last heartbeat
   // The highest epoch of a leader that the worker has accepted. Lower epochs are rejected.
