--- a/tests/largest_gangs_test.cc
+++ b/tests/largest_gangs_test.cc
@@ -11,7 +11,8 @@
 // The memory of a controller of the deployment cepchene-laval.
 constexpr long kMemoryLimitKib = 72L << 10;
 
-// The most memory that this process has held so far.
+// The most memory that this process has held so far. ctest runs each test in a process of its own,
+// so that no earlier test has held more.
 long peak_memory_kib() {
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
@@ -69,5 +70,25 @@
   cluster.expect_no_violations();
 }
 
+// Guards against a leader that runs out of memory because nothing bounds the tasks on one machine:
+// four machines have room for all of these.
+TEST(LargestGangs, OfTinyTasksLeaveMemory) {
+  SimulatedCluster cluster;
+  ASSERT_TRUE(cluster.wait_for_leader());
+  [[maybe_unused]] const long peak_before = peak_memory_kib();
+  for (const char* id : {"wk-1", "wk-2", "wk-3"}) {
+    wire::Job gang = largest_gang(id);
+    gang.cpus = gang.memory_gb = 0.0001;
+    ASSERT_EQ(cluster.submit("n0", gang).status, 201);
+  }
+
+  for (int i = 0; i < 100 && cluster.state.count("work/") < 20; ++i) cluster.time.run_for(100);
+
+#if !defined(__SANITIZE_ADDRESS__)
+  EXPECT_LT(peak_memory_kib() - peak_before, kMemoryLimitKib);
+#endif
+  cluster.expect_no_violations();
+}
+
 }  // namespace
 }  // namespace seampass::fakes
